Add shared modules: errors, settings, peers, platform and configuration schema

Cause: the slices need common types before they can be built in parallel. Conclusion: records are read field by field, since msgspec reads a NamedTuple only from a JSON array.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 
 # Needs Debian's thrift-compiler; its output is committed.
 generate:
-	thrift --gen py:type_hints,enum -out egretshed/gen egretshed/peers/messages.thrift
+	thrift --gen py:enum,slots -out egretshed/gen egretshed/peers/messages.thrift
 
 clean:
 	rm -rf build .hypothesis .ruff_cache
--- /dev/null
+++ b/egretshed/errors.py
@@ -0,0 +1,284 @@
+"""Failure types and their one mapping to HTTP statuses and exit codes.
+
+Every failure that crosses a slice boundary is an exception derived from
+`EgretshedError`. Its `code` is stable: callers, operators and log readers match on it.
+`to_body` gives the JSON object that answers a request with this failure.
+"""
+
+from enum import IntEnum
+from typing import (
+    Any,
+    ClassVar,
+)
+
+
+class ExitStatus(IntEnum):
+    """Exit codes of `egretshed` and `egretshedd`."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    BAD_SETTINGS = 3
+    BAD_CONFIGURATION = 4
+    UNREACHABLE = 5
+    REFUSED = 6
+    CONFLICT = 7
+    FAILED = 8
+    UNKNOWN_OUTCOME = 9
+    INTERRUPTED = 130
+
+
+class EgretshedError(Exception):
+    """Base of all typed failures.
+
+    Fields given as keyword arguments become attributes and part of the JSON body::
+
+        raise NotRun(reason="queue_full", retry_after_s=1.5)
+    """
+
+    code: ClassVar[str] = "internal"
+    http_status: ClassVar[int] = 500
+    exit_status: ClassVar[ExitStatus] = ExitStatus.ERROR
+
+    def __init__(self, message: str = "", **fields: Any):
+        self.message = message or self.code.replace("_", " ")
+        self.fields = fields
+        super().__init__(self.message)
+
+    def __getattr__(self, name: str) -> Any:
+        fields = self.__dict__.get("fields", {})
+        if name in fields:
+            return fields[name]
+        raise AttributeError(name)
+
+    def __str__(self) -> str:
+        details = ", ".join(f"{k}={v!r}" for k, v in self.fields.items())
+        return f"{self.message} ({details})" if details else self.message
+
+    def to_body(self) -> dict[str, Any]:
+        """Return the JSON object sent to a caller or operator."""
+        return {"error": self.code, "message": self.message, **self.fields}
+
+
+# Refusals before anything runs.
+
+
+class InvalidRequest(EgretshedError):
+    code = "invalid_request"
+    http_status = 400
+    exit_status = ExitStatus.USAGE
+
+
+class BodyTooLarge(InvalidRequest):
+    code = "body_too_large"
+    http_status = 413
+
+
+class DeadlinePassed(InvalidRequest):
+    code = "deadline_passed"
+    http_status = 400
+
+
+class Unauthorized(EgretshedError):
+    code = "unauthorized"
+    http_status = 401
+    exit_status = ExitStatus.REFUSED
+
+
+class Forbidden(EgretshedError):
+    code = "forbidden"
+    http_status = 403
+    exit_status = ExitStatus.REFUSED
+
+
+class NotFound(EgretshedError):
+    code = "not_found"
+    http_status = 404
+    exit_status = ExitStatus.REFUSED
+
+
+class NotRun(EgretshedError):
+    """Nothing was sent to any backend server.
+
+    Fields: `reason` (str), `retry_after_s` (float, when to ask again).
+    """
+
+    code = "not_run"
+    http_status = 503
+    exit_status = ExitStatus.REFUSED
+
+
+class NoReplicaAvailable(EgretshedError):
+    """No replica can take the call now; internal, turned into `NotRun` or retried."""
+
+    code = "no_replica_available"
+    http_status = 503
+    exit_status = ExitStatus.REFUSED
+
+
+# Outcomes of requests that ran.
+
+
+class RequestFailed(EgretshedError):
+    """The request ran and did not complete. Fields: `reason`, `stage`."""
+
+    code = "failed"
+    http_status = 502
+    exit_status = ExitStatus.FAILED
+
+
+class DeadlineExceeded(RequestFailed):
+    code = "failed"
+    http_status = 504
+
+
+class OutcomeUnknown(EgretshedError):
+    """The request may have run and will not be repeated."""
+
+    code = "unknown"
+    http_status = 409
+    exit_status = ExitStatus.UNKNOWN_OUTCOME
+
+
+class RequestCancelled(RequestFailed):
+    code = "failed"
+    http_status = 409
+
+
+class StreamGap(EgretshedError):
+    """The events asked for are no longer buffered. Field: `oldest_sequence`."""
+
+    code = "stream_gap"
+    http_status = 410
+    exit_status = ExitStatus.FAILED
+
+
+# Backend servers.
+
+
+class BackendError(EgretshedError):
+    """A call to a backend server did not succeed.
+
+    Field `may_have_run` is False only if the server certainly did not start the call.
+    """
+
+    code = "backend_error"
+    http_status = 502
+
+    @property
+    def may_have_run(self) -> bool:
+        return bool(self.fields.get("may_have_run", True))
+
+
+class BackendUnreachable(BackendError):
+    code = "backend_unreachable"
+
+
+class BackendRejected(BackendError):
+    code = "backend_rejected"
+
+
+class BackendSilent(BackendError):
+    code = "backend_silent"
+
+
+class StaleFencingNumber(EgretshedError):
+    """The server holds a higher fencing number. Field: `highest`."""
+
+    code = "stale_fencing_number"
+    http_status = 409
+    exit_status = ExitStatus.CONFLICT
+
+
+# Platform services.
+
+
+class TableConflict(EgretshedError):
+    """A condition did not hold; nothing was written. Field: `keys`."""
+
+    code = "table_conflict"
+    http_status = 409
+    exit_status = ExitStatus.CONFLICT
+
+
+class PlatformUnavailable(EgretshedError):
+    """The platform answered nothing or refused; nothing was written."""
+
+    code = "platform_unavailable"
+    http_status = 503
+    exit_status = ExitStatus.UNREACHABLE
+
+
+class TableUnavailable(PlatformUnavailable):
+    code = "table_unavailable"
+
+
+class TableOutcomeUnknown(EgretshedError):
+    """The transaction may have been written; read back to know."""
+
+    code = "table_outcome_unknown"
+    http_status = 503
+    exit_status = ExitStatus.UNKNOWN_OUTCOME
+
+
+# Peers.
+
+
+class PeerUnavailable(EgretshedError):
+    """The peer gave no reply in time. Field: `node_id`."""
+
+    code = "peer_unavailable"
+    http_status = 503
+    exit_status = ExitStatus.UNREACHABLE
+
+
+class PeerRejected(EgretshedError):
+    """The peer's handler raised; field `error` has its failure code."""
+
+    code = "peer_rejected"
+    http_status = 502
+
+
+class PeerAuthenticationFailed(EgretshedError):
+    code = "peer_authentication_failed"
+    http_status = 401
+
+
+# Configuration and plans.
+
+
+class ConfigurationInvalid(EgretshedError):
+    """Field `faults`: list of {path, message}."""
+
+    code = "configuration_invalid"
+    http_status = 400
+    exit_status = ExitStatus.BAD_CONFIGURATION
+
+
+class SettingsInvalid(EgretshedError):
+    """Field `faults`: list of {path, message}."""
+
+    code = "settings_invalid"
+    exit_status = ExitStatus.BAD_SETTINGS
+
+
+class VersionConflict(EgretshedError):
+    """Another change came first. Fields: `version`, `operator`, `objects`."""
+
+    code = "version_conflict"
+    http_status = 409
+    exit_status = ExitStatus.CONFLICT
+
+
+class PlanRefused(EgretshedError):
+    """Fields: `reason` and, by reason, `differences` or `conflicting_plan`."""
+
+    code = "plan_refused"
+    http_status = 409
+    exit_status = ExitStatus.CONFLICT
+
+
+class InvariantViolated(EgretshedError):
+    """A promise of the system was about to be broken. Field: `invariant`."""
+
+    code = "invariant_violated"
--- /dev/null
+++ b/egretshed/gen/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/egretshed/peers/codec.py
@@ -0,0 +1,98 @@
+"""Encoding and authentication of frames between nodes.
+
+A frame on the wire is a 4-byte big-endian length, a 16-byte MAC and a thrift compact
+struct. The MAC is keyed BLAKE2b over both connection nonces, the sender's role on
+the connection and the struct, so that a frame cannot be replayed on another connection
+or reflected to its sender. The counter in `Frame` stops replays on the same connection.
+"""
+
+import hashlib
+import hmac
+from typing import (
+    Any,
+    NamedTuple,
+)
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import (
+    deserialize,
+    serialize,
+)
+
+from egretshed.errors import (
+    EgretshedError,
+    PeerAuthenticationFailed,
+)
+from egretshed.gen.messages import ttypes
+from egretshed.gen.messages.ttypes import MessageType
+
+MAC_BYTES = 16
+NONCE_BYTES = 16
+PROTOCOL_VERSION = 1
+
+_PROTOCOL = TCompactProtocolAcceleratedFactory()
+
+
+class MalformedMessage(EgretshedError):
+    """Bytes from a peer are not the struct that its frame announces."""
+
+    code = "malformed_message"
+    http_status = 502
+
+
+def _class_name(message_type: MessageType) -> str:
+    return "".join(part.capitalize() for part in message_type.name.split("_"))
+
+
+MESSAGE_CLASSES = {kind: getattr(ttypes, _class_name(kind)) for kind in MessageType}
+MESSAGE_TYPES = {cls: kind for kind, cls in MESSAGE_CLASSES.items()}
+
+
+def encode(message: Any) -> bytes:
+    """Return the compact-protocol bytes of a thrift struct."""
+    return serialize(message, _PROTOCOL)
+
+
+def decode(cls: type, body: bytes) -> Any:
+    """Return a validated `cls`; raise `MalformedMessage` on anything else."""
+    try:
+        message = deserialize(cls(), body, _PROTOCOL)
+        message.validate()
+    except (TException, EOFError, ValueError, TypeError, IndexError) as error:
+        raise MalformedMessage(f"malformed {cls.__name__}: {error}") from error
+    return message
+
+
+class Channel(NamedTuple):
+    """Authentication state shared by both directions of one connection."""
+
+    key: bytes
+    client_nonce: bytes = b""
+    server_nonce: bytes = b""
+
+    def mac(self, from_client: bool, body: bytes) -> bytes:
+        direction = b"c" if from_client else b"s"
+        return hashlib.blake2b(
+            direction + self.client_nonce + self.server_nonce + body,
+            key=self.key,
+            digest_size=MAC_BYTES,
+        ).digest()
+
+    def check(self, from_client: bool, mac: bytes, body: bytes) -> None:
+        if not hmac.compare_digest(mac, self.mac(from_client, body)):
+            raise PeerAuthenticationFailed("frame has a wrong MAC")
+
+
+def key_bytes(key: str) -> bytes:
+    """Return the MAC key derived from a configured secret of any length."""
+    return hashlib.blake2b(key.encode(), digest_size=32).digest()
+
+
+def matching_key(keys: tuple[str, ...], mac: bytes, body: bytes) -> bytes | None:
+    """Return which of `keys` signed a client's first frame, if any did."""
+    for key in keys:
+        candidate = key_bytes(key)
+        if hmac.compare_digest(mac, Channel(candidate).mac(True, body)):
+            return candidate
+    return None
--- /dev/null
+++ b/egretshed/peers/messages.thrift
@@ -0,0 +1,171 @@
+// Messages between egretshed nodes. Regenerate with `make generate`.
+namespace py messages
+
+enum MessageType {
+  HELLO = 1, PROBE = 2, PROBE_ACK = 3, PROBE_REQUEST = 4, MEMBER_SYNC = 5,
+  LOAN_REQUEST = 10, LOAN_REPLY = 11, LOAN_RETURN = 12,
+  CONFIGURATION_OFFER = 20, CONFIGURATION_FETCH = 21, CONFIGURATION_DELTAS = 22,
+  STREAM_FETCH = 30, STREAM_EVENTS = 31, OUTCOME_QUERY = 32, OUTCOME_REPLY = 33,
+  CANCEL_REQUEST = 34,
+  CLAIM_BATCH = 40, CLAIM_REPLY = 41,
+  ACK = 50, FAILURE = 51,
+}
+
+enum FrameKind { CALL = 1, REPLY = 2, ONE_WAY = 3 }
+
+// One frame after the handshake; counter rises by one per direction.
+struct Frame {
+  1: required i64 counter,
+  2: required FrameKind kind,
+  3: required i64 call_id,
+  4: required MessageType message_type,
+  5: required binary body,
+}
+
+// First frame in each direction.
+struct Hello {
+  1: required string node_id,
+  2: required i64 incarnation,
+  3: required binary nonce,
+  4: required i32 protocol_version,
+}
+
+struct Ack {}
+
+struct Failure {
+  1: required string code,
+  2: required string message,
+}
+
+enum MemberStatus { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEAVING = 4 }
+
+struct MemberUpdate {
+  1: required string node_id,
+  2: required i64 incarnation,
+  3: required i64 refutation,   // raised by the member itself to refute a suspicion
+  4: required MemberStatus status,
+  5: required string host,
+  6: required i32 peer_port,
+  7: required i32 http_port,
+  8: required string failure_domain,
+  9: required string region,
+  10: optional i32 load_permille,
+}
+
+struct Probe {
+  1: required list<MemberUpdate> updates,
+  2: required i64 configuration_version,
+}
+
+struct ProbeAck {
+  1: required list<MemberUpdate> updates,
+  2: required i64 configuration_version,
+}
+
+// Asks a third node to probe the target.
+struct ProbeRequest {
+  1: required string target_node_id,
+  2: required list<MemberUpdate> updates,
+}
+
+struct MemberSync {
+  1: required list<MemberUpdate> members,
+}
+
+// What a borrower wants of, holds of and runs on one replica.
+struct LoanDemand {
+  1: required string replica_id,
+  2: required i32 wanted_slots,
+  3: required i32 held_slots,
+  4: required i32 running_calls,
+  5: required i32 longest_remaining_ms,
+  6: optional i32 first_token_p95_ms,
+  7: optional i32 completed_calls,
+  8: optional i32 failed_calls,
+  9: optional bool seems_cold,
+}
+
+struct LoanRequest {
+  1: required i64 incarnation,
+  2: required list<LoanDemand> demands,
+}
+
+struct LoanGrant {
+  1: required string replica_id,
+  2: required i64 loan_id,
+  3: required i32 slots,           // total slots lent to this borrower now
+  4: required i32 duration_ms,
+  5: required i32 limit_slots,
+  6: required i32 in_flight_calls, // as last reported by the server
+  7: required bool warm,
+  8: optional i32 load_age_ms,
+  9: optional bool not_owner,
+}
+
+struct LoanReply { 1: required list<LoanGrant> grants }
+
+struct LoanReturn {
+  1: required i64 incarnation,
+  2: required list<LoanDemand> demands,
+}
+
+struct ConfigurationOffer { 1: required i64 version }
+struct ConfigurationFetch { 1: required i64 after_version }
+
+struct ConfigurationDelta {
+  1: required i64 version,
+  2: required binary body,   // JSON of the version record
+}
+
+struct ConfigurationDeltas {
+  1: required list<ConfigurationDelta> deltas,
+  2: optional binary snapshot,   // JSON of all objects, when deltas are too old
+  3: optional i64 snapshot_version,
+}
+
+struct StreamFetch {
+  1: required string customer_id,
+  2: required string stream_id,
+  3: required i64 after_sequence,
+  4: required i32 wait_ms,
+}
+
+struct StreamEvent {
+  1: required i64 sequence,
+  2: required binary body,   // JSON of the event
+}
+
+struct StreamEvents {
+  1: required list<StreamEvent> events,
+  2: required bool finished,
+}
+
+struct OutcomeQuery {
+  1: required string customer_id,
+  2: required string request_id,
+}
+
+struct OutcomeReply {
+  1: required bool known,
+  2: optional binary body,   // JSON of the outcome
+}
+
+struct CancelRequest {
+  1: required string customer_id,
+  2: required string stream_id,
+}
+
+struct ClaimItem {
+  1: required string customer_id,
+  2: required string request_id,
+  3: optional binary outcome,   // JSON; absent for a new claim
+}
+
+struct ClaimBatch {
+  1: required i64 incarnation,
+  2: required list<ClaimItem> items,
+}
+
+struct ClaimReply {
+  1: required list<string> results,   // per item: claimed | taken | unavailable | unknown
+}
--- /dev/null
+++ b/egretshed/platform/http_json.py
@@ -0,0 +1,167 @@
+"""Platform adapter for a table, object and weight store that speak JSON over HTTP.
+
+A transaction whose reply is lost raises `TableOutcomeUnknown`. A refusal with status
+429 or 503 means that nothing was written.
+"""
+
+from typing import Any
+
+import msgspec
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    EgretshedError,
+    PlatformUnavailable,
+    TableConflict,
+    TableOutcomeUnknown,
+    TableUnavailable,
+)
+from egretshed.platform.adapters import PLATFORM_ADAPTERS
+from egretshed.platform.interface import (
+    Condition,
+    ListedVm,
+    Platform,
+    Row,
+    WeightVersion,
+    Write,
+)
+
+CONFLICT = 409
+REFUSED_STATUSES = frozenset({429, 503})
+NOT_FOUND = 404
+
+
+class _HttpPlatform:
+    """Calls one platform URL; each service below uses it."""
+
+    def __init__(self, env: Environment):
+        self.env = env
+        self.url = env.settings.platform.url.rstrip("/")
+        self.client = AsyncHTTPClient(force_instance=True)
+
+    async def call(self, method: str, path: str, body: bytes | None) -> HTTPResponse:
+        settings = self.env.settings.platform
+        timeout_s = settings.call_timeout_s
+        request = HTTPRequest(
+            self.url + path,
+            method=method,
+            body=body,
+            headers={"Authorization": f"Bearer {settings.key}"},
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+        )
+        self.env.metrics.counter(
+            "platform_calls_total", "Calls to the platform", ("operation",)
+        ).labels(path.split("?")[0].split("/")[1]).inc()
+        return await self.client.fetch(request, raise_error=False)
+
+    async def json(self, path: str, body: Any, error: type[EgretshedError]) -> Any:
+        """Return the decoded answer; any failure raises `error`."""
+        try:
+            response = await self.call("POST", path, msgspec.json.encode(body))
+        except (HTTPClientError, OSError, ValueError) as cause:
+            raise error(f"platform call {path} failed: {cause}") from cause
+        if response.code != 200:
+            raise error(f"platform call {path} answered {response.code}")
+        return msgspec.json.decode(response.body)
+
+
+class HttpTable:
+    def __init__(self, http: _HttpPlatform):
+        self.http = http
+
+    async def read(self, keys: list[str]) -> dict[str, Row]:
+        rows = await self.http.json("/table/read", {"keys": keys}, TableUnavailable)
+        return {row["key"]: Row(**row) for row in rows}
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        body = {"prefix": prefix, "after": after, "limit": limit}
+        rows = await self.http.json("/table/scan", body, TableUnavailable)
+        return [Row(**row) for row in rows]
+
+    async def transact(self, conditions: list[Condition], writes: list[Write]) -> None:
+        body = {
+            "conditions": [c._asdict() for c in conditions],
+            "writes": [w._asdict() for w in writes],
+        }
+        try:
+            response = await self.http.call(
+                "POST", "/table/transact", msgspec.json.encode(body)
+            )
+        except ConnectionRefusedError as cause:
+            raise TableUnavailable("table refused the connection") from cause
+        except (HTTPClientError, OSError) as cause:
+            raise TableOutcomeUnknown(f"no answer from the table: {cause}") from cause
+        if response.code == CONFLICT:
+            keys = msgspec.json.decode(response.body)["keys"]
+            raise TableConflict("condition did not hold", keys=keys)
+        if response.code in REFUSED_STATUSES:
+            raise TableUnavailable(f"table answered {response.code}")
+        if response.code != 200:
+            raise TableOutcomeUnknown(f"table answered {response.code}")
+
+
+class HttpObjects:
+    def __init__(self, http: _HttpPlatform):
+        self.http = http
+
+    async def put(self, key: str, body: bytes) -> None:
+        response = await self._call("PUT", key, body)
+        if response.code != 200:
+            raise PlatformUnavailable(f"object store answered {response.code}")
+
+    async def get(self, key: str) -> bytes | None:
+        response = await self._call("GET", key, None)
+        if response.code == NOT_FOUND:
+            return None
+        if response.code != 200:
+            raise PlatformUnavailable(f"object store answered {response.code}")
+        return response.body
+
+    async def _call(self, method: str, key: str, body: bytes | None) -> HTTPResponse:
+        try:
+            return await self.http.call(method, f"/objects/{key}", body)
+        except (HTTPClientError, OSError) as cause:
+            raise PlatformUnavailable(f"object store failed: {cause}") from cause
+
+
+class HttpWeights:
+    def __init__(self, http: _HttpPlatform):
+        self.http = http
+
+    async def versions(self, model: str) -> list[WeightVersion]:
+        answer = await self.http.json(
+            "/weights/versions", {"model": model}, PlatformUnavailable
+        )
+        return [WeightVersion(**version) for version in answer]
+
+    async def rate_bytes_per_s(self) -> float:
+        answer = await self.http.json("/weights/rate", {}, PlatformUnavailable)
+        return float(answer["rate_bytes_per_s"])
+
+
+class HttpVmList:
+    def __init__(self, http: _HttpPlatform):
+        self.http = http
+
+    async def read(self) -> list[ListedVm]:
+        answer = await self.http.json("/vms", {}, PlatformUnavailable)
+        return [ListedVm(**vm) for vm in answer]
+
+
+@PLATFORM_ADAPTERS.register("http_json")
+def connect(env: Environment) -> Platform:
+    """Return the platform at `settings.platform.url`."""
+    http = _HttpPlatform(env)
+    return Platform(
+        table=HttpTable(http),
+        objects=HttpObjects(http),
+        weights=HttpWeights(http),
+        vms=HttpVmList(http),
+    )
--- /dev/null
+++ b/egretshed/settings/load.py
@@ -0,0 +1,82 @@
+"""Reads and checks the daemon's settings file, listing every fault by its path."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from expression import (
+    Error,
+    Ok,
+    Result,
+)
+
+from egretshed.errors import SettingsInvalid
+from egretshed.records import (
+    Fault,
+    read_record,
+)
+from egretshed.settings.schema import Settings
+
+
+def load_settings(path: Path) -> Result[Settings, SettingsInvalid]:
+    """Return the settings in the JSON file at `path`, or every fault in it."""
+    try:
+        raw = msgspec.json.decode(path.read_bytes())
+    except OSError as error:
+        return _invalid([Fault("$", f"cannot read {path}: {error.strerror}")])
+    except msgspec.DecodeError as error:
+        return _invalid([Fault("$", f"not valid JSON: {error}")])
+    return check_settings(raw)
+
+
+def check_settings(raw: Any) -> Result[Settings, SettingsInvalid]:
+    """Check decoded JSON against the schema and the ranges of its fields."""
+    faults: list[Fault] = []
+    settings = read_record(raw, Settings, "$", faults)
+    if settings is None:
+        return _invalid(faults)
+    faults += _range_faults(settings, "$")
+    faults += _relation_faults(settings)
+    return _invalid(faults) if faults else Ok(settings)
+
+
+def _range_faults(section: Any, path: str):
+    for name, value in section._asdict().items():
+        where = f"{path}.{name}"
+        if hasattr(value, "_fields"):
+            yield from _range_faults(value, where)
+        elif name.endswith("_port") and not 0 <= value <= 65535:
+            yield Fault(where, f"port {value} is outside 0..65535")
+        elif name.endswith(("_s", "_bytes")) and value <= 0:
+            yield Fault(where, f"{value} must be greater than 0")
+
+
+def _relation_faults(settings: Settings) -> list[Fault]:
+    faults = []
+    slots = settings.slots
+    if slots.renew_period_s * 2 > slots.loan_duration_s:
+        faults.append(
+            Fault(
+                "$.slots.renew_period_s",
+                "must be at most half of loan_duration_s, so that one lost renewal "
+                "does not end a loan",
+            )
+        )
+    if slots.take_over_wait_s <= slots.loan_duration_s:
+        faults.append(
+            Fault("$.slots.take_over_wait_s", "must be longer than loan_duration_s")
+        )
+    if not settings.peers.keys or not all(settings.peers.keys):
+        faults.append(Fault("$.peers.keys", "needs at least one non-empty key"))
+    if not settings.node.node_id:
+        faults.append(Fault("$.node.node_id", "must not be empty"))
+    return faults
+
+
+def _invalid(faults: list[Fault]) -> Result[Settings, SettingsInvalid]:
+    return Error(
+        SettingsInvalid(
+            f"{len(faults)} faults in the settings",
+            faults=[fault._asdict() for fault in faults],
+        )
+    )
--- /dev/null
+++ b/egretshed/settings/schema.py
@@ -0,0 +1,119 @@
+"""Schema of the daemon's settings file.
+
+Field names carry their unit. Defaults suit a deployment of 7 to 9 entry VMs.
+"""
+
+from typing import NamedTuple
+
+
+class NodeSettings(NamedTuple):
+    """Who and where this VM is."""
+
+    node_id: str
+    failure_domain: str
+    region: str
+    host: str = "127.0.0.1"
+    http_port: int = 0
+    peer_port: int = 0
+
+
+class PlatformSettings(NamedTuple):
+    """Where the platform's services are; `adapter` names a registered adapter."""
+
+    url: str
+    adapter: str = "http_json"
+    call_timeout_s: float = 1.0
+    key: str = ""
+
+
+class PeerSettings(NamedTuple):
+    """Connections between nodes; the first key signs, all are accepted."""
+
+    keys: tuple[str, ...]
+    call_timeout_s: float = 1.0
+    connect_timeout_s: float = 1.0
+    silence_limit_s: float = 5.0
+    max_frame_bytes: int = 4 * 1024 * 1024
+
+
+class MembershipSettings(NamedTuple):
+    probe_period_s: float = 0.5
+    probe_timeout_s: float = 0.2
+    suspicion_s: float = 1.5
+    indirect_probes: int = 2
+    vm_list_period_s: float = 2.0
+    sync_period_s: float = 30.0
+    address_keep_s: float = 5.0
+    pause_limit_s: float = 1.0
+
+
+class SlotSettings(NamedTuple):
+    """Lending of replica slots."""
+
+    loan_duration_s: float = 2.0
+    renew_period_s: float = 0.5
+    take_over_wait_s: float = 6.0
+    load_report_period_s: float = 0.5
+
+
+class RoutingSettings(NamedTuple):
+    policy: str = "predictive"
+
+
+class AdmissionSettings(NamedTuple):
+    queue_requests: int = 512
+    running_requests: int = 256
+
+
+class RetrySettings(NamedTuple):
+    budget_share: float = 0.1
+    budget_burst: int = 10
+    max_attempts: int = 3
+    hedge: bool = False
+
+
+class ClaimSettings(NamedTuple):
+    group_delay_s: float = 0.02
+    group_max_claims: int = 100
+
+
+class StreamSettings(NamedTuple):
+    """Buffered answers, kept for callers that reconnect."""
+
+    keep_s: float = 60.0
+    buffer_bytes: int = 64 * 1024 * 1024
+    coalesce_s: float = 0.005
+    caller_silence_limit_s: float = 15.0
+
+
+class HttpSettings(NamedTuple):
+    body_limit_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 10.0
+
+
+class ConfigurationSettings(NamedTuple):
+    poll_period_s: float = 1.0
+    freshness_limit_s: float = 4.0
+
+
+class ShutdownSettings(NamedTuple):
+    limit_s: float = 30.0
+
+
+class Settings(NamedTuple):
+    """The whole settings file."""
+
+    node: NodeSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    membership: MembershipSettings = MembershipSettings()
+    slots: SlotSettings = SlotSettings()
+    routing: RoutingSettings = RoutingSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    retries: RetrySettings = RetrySettings()
+    claims: ClaimSettings = ClaimSettings()
+    streams: StreamSettings = StreamSettings()
+    http: HttpSettings = HttpSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    log_level: str = "INFO"
--- /dev/null
+++ b/egretshed/settings/tests/settings.feature
@@ -0,0 +1,29 @@
+Feature: A bad settings file is refused with every fault by its path
+
+  Scenario Outline: <fault>
+    Given a valid settings file
+    When "<path>" is set to <value>
+    Then the fault "<reported>" is reported
+
+    Examples:
+      | fault                  | path                          | value   | reported                |
+      | port out of range      | node.http_port                | 70000   | $.node.http_port        |
+      | wrong type             | node.node_id                  | 5       | $.node.node_id          |
+      | unknown field          | slots.loan_time_s             | 1       | $.slots.loan_time_s     |
+      | unknown section        | lending                       | {}      | $.lending               |
+      | zero duration          | slots.loan_duration_s         | 0       | $.slots.loan_duration_s |
+      | renewal too rare       | slots.renew_period_s          | 1.9     | $.slots.renew_period_s  |
+      | take-over too early    | slots.take_over_wait_s        | 0.5     | $.slots.take_over_wait_s |
+      | no peer key            | peers.keys                    | []      | $.peers.keys            |
+      | section is not object  | peers                         | 3       | $.peers                 |
+
+  Scenario: Several faults are reported together
+    Given a valid settings file
+    When "node.http_port" is set to "x"
+    And "peers.bogus" is set to 1
+    Then the fault "$.node.http_port" is reported
+    And the fault "$.peers.bogus" is reported
+
+  Scenario: A file that is not JSON is one fault
+    Given a settings file with the text "{"
+    Then the fault "$" is reported
--- /dev/null
+++ b/standins/clock.py
@@ -0,0 +1,66 @@
+"""A clock that a test advances by hand."""
+
+import asyncio
+import heapq
+import itertools
+
+LOOP_PASSES = 50
+
+
+class ManualClock:
+    """Time moves only in `advance`; sleepers wake in the order of their times."""
+
+    def __init__(self, start_s: float = 1000.0):
+        self._now_s = start_s
+        self._sleepers: list[tuple[float, int, asyncio.Future]] = []
+        self._order = itertools.count()
+
+    def monotonic_s(self) -> float:
+        return self._now_s
+
+    def wall_s(self) -> float:
+        return self._now_s + 1.7e9
+
+    async def sleep(self, seconds: float) -> None:
+        if seconds <= 0:
+            await asyncio.sleep(0)
+            return
+        wake = asyncio.get_running_loop().create_future()
+        entry = (self._now_s + seconds, next(self._order), wake)
+        heapq.heappush(self._sleepers, entry)
+        await wake
+
+    async def advance(self, seconds: float) -> None:
+        """Move time on, running all tasks that wake on the way."""
+        end_s = self._now_s + seconds
+        await self.settle()
+        while self._sleepers and self._sleepers[0][0] <= end_s:
+            at_s, _, wake = heapq.heappop(self._sleepers)
+            self._now_s = max(self._now_s, at_s)
+            if not wake.done():
+                wake.set_result(None)
+            await self.settle()
+        self._now_s = end_s
+        await self.settle()
+
+    async def settle(self) -> None:
+        """Let tasks that are ready run until they wait again."""
+        for _ in range(LOOP_PASSES):
+            await asyncio.sleep(0)
+
+
+class OffsetClock:
+    """A node's view of a `ManualClock` with another origin, for clock disagreement."""
+
+    def __init__(self, base: ManualClock, offset_s: float):
+        self.base = base
+        self.offset_s = offset_s
+
+    def monotonic_s(self) -> float:
+        return self.base.monotonic_s() + self.offset_s
+
+    def wall_s(self) -> float:
+        return self.base.wall_s() + self.offset_s
+
+    async def sleep(self, seconds: float) -> None:
+        await self.base.sleep(seconds)
