--- /dev/null
+++ b/egretshed/backends/http.py
@@ -0,0 +1,191 @@
+"""HTTP calls to one backend server, with every failure typed.
+
+Each call opens a connection of its own, so that a retry never waits behind a connection
+that has gone silent.
+"""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+from tornado.iostream import StreamClosedError
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from egretshed.backends.interface import (
+    BackendCall,
+    BackendOrder,
+    CacheEvent,
+    LoadReport,
+    OrderResult,
+)
+from egretshed.configuration.schema import (
+    Pool,
+    Replica,
+)
+from egretshed.environment import Environment
+from egretshed.errors import (
+    BackendError,
+    BackendRejected,
+    BackendSilent,
+    BackendUnreachable,
+    StaleFencingNumber,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 30.0
+MAX_CLIENTS = 2000
+REJECTED_STATUSES = frozenset({429, 503})
+STALE_STATUS = 409
+
+
+def make_http_client() -> AsyncHTTPClient:
+    """Return a client without tornado's default limit of 10 calls at a time."""
+    return AsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+
+class HttpBackend:
+    """What all HTTP adapters share: load, orders, cancel and cache transfer."""
+
+    def __init__(self, env: Environment, pool: Pool, replica: Replica):
+        self.env = env
+        self.pool = pool
+        self.replica = replica
+        self.client = make_http_client()
+
+    def call_headers(self, call: BackendCall) -> dict[str, str]:
+        return {
+            "Content-Type": "application/json",
+            "X-Attempt-Id": call.attempt_id,
+            "X-Request-Id": call.request_id,
+            "X-Customer-Id": call.customer_id,
+            "X-Priority": str(call.priority),
+        }
+
+    async def load(self) -> LoadReport:
+        answer = await self._control("GET", "/load", None, CONTROL_TIMEOUT_S)
+        return msgspec.convert(tuple(answer[f] for f in LoadReport._fields), LoadReport)
+
+    async def cancel(self, attempt_id: str) -> None:
+        body = {"attempt_id": attempt_id}
+        await self._control("POST", "/cancel", body, CONTROL_TIMEOUT_S)
+
+    async def order(self, order: BackendOrder) -> OrderResult:
+        response = await self.fetch(
+            "POST", "/order", order._asdict(), {}, ORDER_TIMEOUT_S
+        )
+        answer = decode_object(response)
+        if response.code == STALE_STATUS:
+            raise StaleFencingNumber(
+                "the server holds a higher fencing number", **answer
+            )
+        self._raise_for_status(response)
+        return OrderResult(**answer)
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        path = f"/cache/events?after={after}"
+        answer = await self._control("GET", path, None, CONTROL_TIMEOUT_S)
+        return [CacheEvent(**event) for event in answer]
+
+    async def export_cache(self, prefix: str) -> bytes | None:
+        body = {"prefix": prefix}
+        response = await self.fetch(
+            "POST", "/cache/export", body, {}, CONTROL_TIMEOUT_S
+        )
+        return response.body if response.code == 200 else None
+
+    async def import_cache(self, prefix: str, body: bytes) -> bool:
+        request = {"prefix": prefix, "body": body.decode("latin-1")}
+        response = await self.fetch(
+            "POST", "/cache/import", request, {}, CONTROL_TIMEOUT_S
+        )
+        return response.code == 200
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        headers: dict[str, str],
+        timeout_s: float,
+        on_chunk=None,
+    ) -> HTTPResponse:
+        """Return the response, or raise a typed failure if there was none."""
+        request = HTTPRequest(
+            self.replica.url + path,
+            method=method,
+            body=None if body is None else msgspec.json.encode(body),
+            headers=headers,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
+            streaming_callback=on_chunk,
+        )
+        try:
+            return await self.client.fetch(request, raise_error=False)
+        except ConnectionRefusedError as error:
+            raise self._failure(BackendUnreachable, "refused", False) from error
+        except HTTPTimeoutError as error:
+            connecting = "connecting" in str(error) or "queue" in str(error)
+            kind = BackendUnreachable if connecting else BackendSilent
+            raise self._failure(kind, str(error), not connecting) from error
+        except (HTTPClientError, StreamClosedError, OSError) as error:
+            raise self._failure(BackendUnreachable, str(error), True) from error
+
+    def _failure(self, kind, reason: str, may_have_run: bool) -> BackendError:
+        return kind(
+            f"backend server {self.replica.replica_id}: {reason}",
+            replica_id=self.replica.replica_id,
+            may_have_run=may_have_run,
+        )
+
+    def _raise_for_status(self, response: HTTPResponse) -> None:
+        if response.code in REJECTED_STATUSES:
+            raise self._failure(BackendRejected, f"status {response.code}", False)
+        if response.code != 200:
+            raise self._failure(BackendError, f"status {response.code}", True)
+
+    async def _control(self, method: str, path: str, body: Any, timeout_s: float):
+        response = await self.fetch(method, path, body, {}, timeout_s)
+        self._raise_for_status(response)
+        return decode_object(response)
+
+
+def decode_object(response: HTTPResponse) -> Any:
+    """Return the JSON of a response; raise `BackendError` if it is not JSON."""
+    try:
+        return msgspec.json.decode(response.body)
+    except msgspec.DecodeError as error:
+        raise BackendError("backend server answered with malformed JSON") from error
+
+
+async def within_progress_limit(
+    backend: HttpBackend, work: asyncio.Future, progress: "Progress", limit_s: float
+) -> Any:
+    """Await `work`, raising `BackendSilent` once nothing has arrived for `limit_s`."""
+    while True:
+        wait_s = limit_s - progress.idle_s()
+        if wait_s <= 0:
+            raise backend._failure(BackendSilent, f"no progress for {limit_s} s", True)
+        done, _ = await asyncio.wait({work}, timeout=wait_s)
+        if done:
+            return work.result()
+
+
+class Progress:
+    """When something last arrived on a call."""
+
+    def __init__(self, env: Environment):
+        self.clock = env.clock
+        self.last_s = env.clock.monotonic_s()
+
+    def note(self) -> None:
+        self.last_s = self.clock.monotonic_s()
+
+    def idle_s(self) -> float:
+        return self.clock.monotonic_s() - self.last_s
--- /dev/null
+++ b/egretshed/callers/events.py
@@ -0,0 +1,209 @@
+"""Server-sent events of a request's stream, local or on another node."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    EgretshedError,
+    NotFound,
+    PeerRejected,
+    PeerUnavailable,
+)
+from egretshed.gen.messages.ttypes import (
+    Ack,
+    CancelRequest,
+    OutcomeQuery,
+    OutcomeReply,
+    StreamEvent,
+    StreamEvents,
+    StreamFetch,
+)
+from egretshed.peers.network import (
+    PeerNetwork,
+    Sender,
+)
+from egretshed.requests.runner import RequestRunner
+from egretshed.requests.store import StreamLocation
+from egretshed.requests.stream import (
+    RequestStream,
+    StreamBatch,
+)
+
+FETCH_WAIT_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+FETCH_ATTEMPTS = 3
+MAX_OUTCOME_PEERS = 16
+
+
+class StreamLost(EgretshedError):
+    """The node that ran the stream is gone; submit the same request id again."""
+
+    code = "stream_lost"
+    http_status = 410
+
+
+def encode_event(batch: StreamBatch) -> bytes:
+    """Return one server-sent event; `id` is the sequence number to resume after."""
+    data = msgspec.json.encode(batch.data)
+    return b"id: %d\nevent: %s\ndata: %s\n\n" % (
+        batch.sequence,
+        batch.event.encode(),
+        data,
+    )
+
+
+async def local_batches(
+    stream: RequestStream, after: int, coalesce_s: float
+) -> AsyncIterator[list[StreamBatch]]:
+    """Yield what follows `after`; tokens that arrive together come as one batch.
+
+    After the first token, waits up to `coalesce_s` for more, so that a burst costs one
+    write and an interval far below the token interval is added.
+    """
+    while True:
+        await stream.wait_beyond(after)
+        if stream.has_tokens and not stream.finished and after:
+            await asyncio.sleep(coalesce_s)
+        batches = stream.batches_after(after)
+        after = stream.sequence
+        yield batches
+        if stream.finished:
+            return
+
+
+class StreamPeers:
+    """Serves and reads streams between nodes."""
+
+    def __init__(self, env: Environment, peers: PeerNetwork, runner: RequestRunner):
+        self.env = env
+        self.peers = peers
+        self.runner = runner
+        peers.handle(StreamFetch, self._on_fetch)
+        peers.handle(CancelRequest, self._on_cancel)
+        peers.handle(OutcomeQuery, self._on_outcome)
+
+    def is_local(self, location: StreamLocation) -> bool:
+        identity = self.env.identity
+        return (location.node_id, location.incarnation) == (
+            identity.node_id,
+            identity.incarnation,
+        )
+
+    async def batches(
+        self, customer_id: str, stream_id: str, after: int
+    ) -> AsyncIterator[list[StreamBatch]]:
+        """Yield the stream from any node; raise `NotFound` or `StreamLost`."""
+        location = StreamLocation.parse(stream_id)
+        if location is None:
+            raise NotFound(f"unknown stream {stream_id!r}")
+        if not self.is_local(location):
+            async for batches in self._remote_batches(
+                location, customer_id, stream_id, after
+            ):
+                yield batches
+            return
+        stream = self.runner.store.find(customer_id, stream_id)
+        if stream is None:
+            raise NotFound(f"unknown stream {stream_id!r}")
+        coalesce_s = self.env.settings.streams.coalesce_s
+        async for batches in local_batches(stream, after, coalesce_s):
+            yield batches
+
+    async def cancel(self, customer_id: str, stream_id: str) -> None:
+        location = StreamLocation.parse(stream_id)
+        if location is None:
+            raise NotFound(f"unknown stream {stream_id!r}")
+        if self.is_local(location):
+            self._cancel_local(customer_id, stream_id)
+            return
+        try:
+            await self.peers.call(
+                location.node_id, CancelRequest(customer_id, stream_id)
+            )
+        except PeerRejected as error:
+            raise NotFound(f"unknown stream {stream_id!r}") from error
+
+    async def outcome(
+        self, customer_id: str, request_id: str, node_ids: list[str]
+    ) -> dict[str, Any] | None:
+        """Ask up to MAX_OUTCOME_PEERS nodes for a request's outcome."""
+        query = OutcomeQuery(customer_id, request_id)
+        calls = [self.peers.call(n, query) for n in node_ids[:MAX_OUTCOME_PEERS]]
+        for reply in await asyncio.gather(*calls, return_exceptions=True):
+            if isinstance(reply, OutcomeReply) and reply.known:
+                return msgspec.json.decode(reply.body)
+        return None
+
+    def local_outcome(self, customer_id: str, request_id: str) -> dict | None:
+        stream = self.runner.store.find_request(customer_id, request_id)
+        if stream is None:
+            return None
+        running = {"outcome": "running", "stream_id": stream.stream_id}
+        return stream.outcome or {**running, "request_id": request_id}
+
+    async def _remote_batches(self, location, customer_id, stream_id, after):
+        failures = 0
+        while True:
+            fetch = StreamFetch(customer_id, stream_id, after, int(FETCH_WAIT_S * 1000))
+            try:
+                reply = await self.peers.call(location.node_id, fetch, FETCH_TIMEOUT_S)
+            except PeerRejected as error:
+                raise self._lost(stream_id) from error
+            except PeerUnavailable as error:
+                failures += 1
+                if failures >= FETCH_ATTEMPTS:
+                    raise self._lost(stream_id) from error
+                continue
+            failures = 0
+            batches = [_from_wire(event) for event in reply.events]
+            if batches:
+                after = batches[-1].sequence
+                yield batches
+            if reply.finished:
+                return
+
+    def _lost(self, stream_id: str) -> StreamLost:
+        return StreamLost(
+            "the node that ran the stream is gone; submit the request again",
+            stream_id=stream_id,
+        )
+
+    async def _on_fetch(self, sender: Sender, fetch: StreamFetch) -> StreamEvents:
+        stream = self.runner.store.find(fetch.customer_id, fetch.stream_id)
+        if stream is None:
+            raise NotFound(f"unknown stream {fetch.stream_id!r}")
+        try:
+            async with asyncio.timeout(fetch.wait_ms / 1000):
+                await stream.wait_beyond(fetch.after_sequence)
+        except TimeoutError:
+            return StreamEvents([], False)
+        batches = stream.batches_after(fetch.after_sequence)
+        return StreamEvents([_to_wire(batch) for batch in batches], stream.finished)
+
+    async def _on_cancel(self, sender: Sender, request: CancelRequest) -> Ack:
+        self._cancel_local(request.customer_id, request.stream_id)
+        return Ack()
+
+    async def _on_outcome(self, sender: Sender, query: OutcomeQuery) -> OutcomeReply:
+        outcome = self.local_outcome(query.customer_id, query.request_id)
+        if outcome is None:
+            return OutcomeReply(False, None)
+        return OutcomeReply(True, msgspec.json.encode(outcome))
+
+    def _cancel_local(self, customer_id: str, stream_id: str) -> None:
+        if not self.runner.cancel(customer_id, stream_id):
+            raise NotFound(f"no running stream {stream_id!r}")
+
+
+def _to_wire(batch: StreamBatch) -> StreamEvent:
+    body = {"event": batch.event, "data": batch.data}
+    return StreamEvent(batch.sequence, msgspec.json.encode(body))
+
+
+def _from_wire(event: StreamEvent) -> StreamBatch:
+    body = msgspec.json.decode(event.body)
+    return StreamBatch(event.sequence, body["event"], body["data"])
--- /dev/null
+++ b/egretshed/callers/handlers.py
@@ -0,0 +1,263 @@
+"""Callers' HTTP interface; `docs/api.md` describes it.
+
+Every failure leaves through `CallerHandler.write_error`, which maps its type to the
+HTTP status and JSON body that `egretshed.errors` gives.
+"""
+
+import asyncio
+from typing import (
+    Any,
+    NamedTuple,
+)
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import (
+    HTTPError,
+    RequestHandler,
+)
+
+from egretshed.callers.events import (
+    StreamLost,
+    StreamPeers,
+    encode_event,
+    local_batches,
+)
+from egretshed.callers.keys import CustomerKeys
+from egretshed.claims.service import ClaimService
+from egretshed.configuration.service import ConfigurationService
+from egretshed.environment import Environment
+from egretshed.errors import (
+    EgretshedError,
+    InvalidRequest,
+    NotFound,
+    PlatformUnavailable,
+)
+from egretshed.logs import log_event
+from egretshed.membership.service import MembershipService
+from egretshed.requests.outcomes import http_status_of
+from egretshed.requests.runner import RequestRunner
+from egretshed.requests.stream import RequestStream
+from egretshed.requests.submission import (
+    MAX_SEQUENCE,
+    Submission,
+    read_submission,
+)
+
+KEEP_ALIVE_S = 2.0
+KEEP_ALIVE_COMMENT = b": keep-alive\n\n"
+DEFAULT_ADDRESS_COUNT = 3
+MAX_ADDRESS_COUNT = 16
+DEFAULT_ISSUED_IDS = 0
+MAX_ISSUED_IDS = 100
+
+
+class CallerServices(NamedTuple):
+    """What the handlers use."""
+
+    env: Environment
+    configuration: ConfigurationService
+    membership: MembershipService
+    runner: RequestRunner
+    streams: StreamPeers
+    claims: ClaimService
+    keys: CustomerKeys
+
+
+class CallerHandler(RequestHandler):
+    """Typed errors and the customer's key."""
+
+    def initialize(self, services: CallerServices) -> None:
+        self.services = services
+
+    def customer_id(self) -> str:
+        return self.services.keys.customer_of(self)
+
+    def write_json(self, body: Any, status: int = 200) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        if isinstance(body, dict) and "retry_after_s" in body:
+            self.set_header("Retry-After", str(max(1, round(body["retry_after_s"]))))
+        self.finish(msgspec.json.encode(body))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, EgretshedError):
+            self.write_json(error.to_body(), error.http_status)
+        elif isinstance(error, HTTPError):
+            body = {"error": "invalid_request", "message": self._reason}
+            self.write_json(body, status_code)
+        else:
+            self.write_json({"error": "internal", "message": "internal fault"}, 500)
+
+    def log_exception(self, typ, value, tb) -> None:
+        if isinstance(value, (EgretshedError, HTTPError)):
+            return
+        log_event(self.services.env.logger, "handler_fault", error=repr(value))
+
+    def int_argument(self, name: str, default: int, maximum: int) -> int:
+        raw = self.get_query_argument(name, str(default))
+        if not raw.isascii() or not raw.isdigit() or int(raw) > maximum:
+            raise InvalidRequest(
+                f"{name} must be a number from 0 to {maximum}", path=name
+            )
+        return int(raw)
+
+
+class AddressesHandler(CallerHandler):
+    """``GET /v1/addresses``: which entry nodes to use, and for how long."""
+
+    def get(self) -> None:
+        services = self.services
+        count = self.int_argument("count", DEFAULT_ADDRESS_COUNT, MAX_ADDRESS_COUNT)
+        issued = self.int_argument("issue_ids", DEFAULT_ISSUED_IDS, MAX_ISSUED_IDS)
+        addresses = services.membership.addresses(count or 1)
+        body: dict[str, Any] = {
+            "addresses": [address._asdict() for address in addresses],
+            "keep_s": services.env.settings.membership.address_keep_s,
+        }
+        if issued:
+            customer_id = self.customer_id()
+            body["request_ids"] = services.claims.issue_ids(customer_id, issued)
+        self.write_json(body)
+
+
+class SubmitHandler(CallerHandler):
+    """``POST /v1/requests``: run a request, answered whole or as events."""
+
+    async def post(self) -> None:
+        services = self.services
+        submission = read_submission(
+            self.request.body,
+            self.customer_id(),
+            services.configuration.current,
+            services.env.settings.http.body_limit_bytes,
+        )
+        if submission.resume is not None and submission.stream:
+            await self._resume(submission)
+            return
+        stream = services.runner.submit(submission)
+        await self._answer(submission, stream)
+
+    async def _resume(self, submission: Submission) -> None:
+        """Continue a stream where it runs, or run the request again from the start."""
+        point = submission.resume
+        batches = self.services.streams.batches(
+            submission.customer_id, point.stream_id, point.after_sequence
+        )
+        try:
+            await send_events(self, batches)
+            return
+        except (StreamLost, NotFound):
+            if self._headers_written:
+                raise
+        stream = self.services.runner.submit(submission, restarted=True)
+        await self._answer(submission, stream)
+
+    async def _answer(self, submission: Submission, stream: RequestStream) -> None:
+        if submission.stream:
+            self.set_header("X-Stream-Id", stream.stream_id)
+            settings = self.services.env.settings.streams
+            await send_events(self, local_batches(stream, 0, settings.coalesce_s))
+            return
+        while not stream.finished:
+            await stream.wait_beyond(stream.sequence)
+        outcome = dict(stream.outcome)
+        if outcome["outcome"] == "complete" and stream.has_tokens:
+            outcome["output"] = {**outcome["output"], "text": stream.text()}
+        self.write_json(outcome, http_status_of(outcome))
+
+
+class StreamHandler(CallerHandler):
+    """``GET`` resumes and ``DELETE`` cancels ``/v1/streams/<stream_id>``."""
+
+    async def get(self, stream_id: str) -> None:
+        after = self.int_argument("after", self._last_event_id(), MAX_SEQUENCE)
+        customer_id = self.customer_id()
+        streams = self.services.streams
+        await send_events(self, streams.batches(customer_id, stream_id, after))
+
+    async def delete(self, stream_id: str) -> None:
+        await self.services.streams.cancel(self.customer_id(), stream_id)
+        self.write_json({"cancelled": stream_id})
+
+    def _last_event_id(self) -> int:
+        raw = self.request.headers.get("Last-Event-ID", "0")
+        if not raw.isascii() or not raw.isdigit():
+            raise InvalidRequest("Last-Event-ID must be a number")
+        return min(int(raw), MAX_SEQUENCE)
+
+
+class OutcomeHandler(CallerHandler):
+    """``GET /v1/requests/<request_id>``: the final answer, wherever it ran."""
+
+    async def get(self, request_id: str) -> None:
+        customer_id = self.customer_id()
+        outcome = await find_outcome(self.services, customer_id, request_id)
+        if outcome is None:
+            raise NotFound(f"unknown request {request_id!r}")
+        self.write_json(outcome)
+
+
+async def find_outcome(
+    services: CallerServices, customer_id: str, request_id: str
+) -> dict[str, Any] | None:
+    """Look in this node's memory, then the claims, then a bounded number of peers."""
+    outcome = services.streams.local_outcome(customer_id, request_id)
+    if outcome is not None:
+        return outcome
+    try:
+        stored = await services.claims.outcome(customer_id, request_id)
+    except PlatformUnavailable:
+        stored = None
+    if stored is not None:
+        return stored.to_body()
+    own = services.env.identity.node_id
+    others = [m.node_id for m in services.membership.heard() if m.node_id != own]
+    return await services.streams.outcome(customer_id, request_id, others)
+
+
+async def send_events(handler: CallerHandler, batches) -> None:
+    """Write batches as server-sent events; a comment when nothing comes for long."""
+    limit_s = handler.services.env.settings.streams.caller_silence_limit_s
+    iterator = aiter(batches)
+    upcoming = asyncio.ensure_future(anext(iterator))
+    try:
+        while True:
+            done, _ = await asyncio.wait({upcoming}, timeout=KEEP_ALIVE_S)
+            if done:
+                try:
+                    body = b"".join(encode_event(b) for b in upcoming.result())
+                except StopAsyncIteration:
+                    break
+                upcoming = asyncio.ensure_future(anext(iterator))
+            else:
+                body = KEEP_ALIVE_COMMENT
+            if not handler._headers_written:
+                handler.set_header("Content-Type", "text/event-stream")
+                handler.set_header("Cache-Control", "no-store")
+            handler.write(body)
+            async with asyncio.timeout(limit_s):
+                await handler.flush()
+        await handler.finish()
+    except (StreamClosedError, TimeoutError):
+        close_connection(handler)
+    finally:
+        upcoming.cancel()
+
+
+def close_connection(handler: CallerHandler) -> None:
+    """Close a connection whose caller takes no more bytes."""
+    if handler.request.connection is not None:
+        handler.request.connection.close()
+
+
+def caller_routes(services: CallerServices) -> list[tuple]:
+    """Return the routes of the callers' interface for a tornado application."""
+    arguments = {"services": services}
+    return [
+        (r"/v1/addresses", AddressesHandler, arguments),
+        (r"/v1/requests", SubmitHandler, arguments),
+        (r"/v1/requests/([^/]{1,400})", OutcomeHandler, arguments),
+        (r"/v1/streams/([^/]{1,400})", StreamHandler, arguments),
+    ]
--- /dev/null
+++ b/egretshed/daemon/node.py
@@ -0,0 +1,242 @@
+"""One node: its slices wired together, started and stopped in order."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Coroutine
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from egretshed.admission.queue import AdmissionQueue
+from egretshed.backends.directory import BackendDirectory
+from egretshed.callers.events import StreamPeers
+from egretshed.callers.handlers import (
+    CallerServices,
+    caller_routes,
+    find_outcome,
+)
+from egretshed.callers.health import (
+    UnknownPathHandler,
+    health_routes,
+)
+from egretshed.callers.keys import CustomerKeys
+from egretshed.claims.service import ClaimService
+from egretshed.clock import SystemClock
+from egretshed.configuration.service import ConfigurationService
+from egretshed.environment import (
+    Environment,
+    Identity,
+)
+from egretshed.logs import (
+    log_event,
+    make_logger,
+)
+from egretshed.membership.service import MembershipService
+from egretshed.metrics import Metrics
+from egretshed.operators.handlers import (
+    OperatorServices,
+    operator_routes,
+)
+from egretshed.peers.network import TcpPeerNetwork
+from egretshed.plans.service import PlanService
+from egretshed.platform.adapters import connect_platform
+from egretshed.requests.runner import (
+    RequestRunner,
+    RunnerServices,
+)
+from egretshed.retries.budgets import RetryBudgets
+from egretshed.retries.stage_times import StageTimes
+from egretshed.routing.router import Router
+from egretshed.settings.schema import Settings
+from egretshed.slots.service import SlotService
+
+INCARNATION_RANDOM_BITS = 10
+BODY_HARD_LIMIT_FACTOR = 4
+
+
+def make_environment(settings: Settings, peer_port: int, http_port: int) -> Environment:
+    """Return this process's environment with a new incarnation."""
+    clock = SystemClock()
+    source = random.Random()
+    milliseconds = int(clock.wall_s() * 1000)
+    incarnation = (milliseconds << INCARNATION_RANDOM_BITS) | source.getrandbits(
+        INCARNATION_RANDOM_BITS
+    )
+    node = settings.node
+    identity = Identity(
+        node_id=node.node_id,
+        incarnation=incarnation,
+        host=node.host,
+        peer_port=peer_port,
+        http_port=http_port,
+        failure_domain=node.failure_domain,
+        region=node.region,
+    )
+    logger = make_logger(node.node_id, settings.log_level)
+    return Environment(clock, source, settings, logger, Metrics(), identity)
+
+
+class Node:
+    """All slices of one entry node."""
+
+    def __init__(self, settings: Settings):
+        node = settings.node
+        self._peer_sockets = bind_sockets(node.peer_port, node.host)
+        self._http_sockets = bind_sockets(node.http_port, node.host)
+        self.env = make_environment(
+            settings, _port(self._peer_sockets), _port(self._http_sockets)
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._draining = False
+
+    def _build(self) -> None:
+        env = self.env
+        self.platform = connect_platform(env)
+        self.peers = TcpPeerNetwork(env, lambda n: self.membership.resolve(n))
+        self.membership = MembershipService(env, self.platform, self.peers)
+        self.configuration = ConfigurationService(
+            env, self.platform, self.peers, self.membership
+        )
+        self.backends = BackendDirectory(env, self.configuration)
+        self.slots = SlotService(
+            env, self.peers, self.membership, self.configuration, self.backends
+        )
+        self.router = Router(
+            env, self.configuration, self.slots.borrower, self.membership, self.backends
+        )
+        self.stage_times = StageTimes(env)
+        self.admission = AdmissionQueue(env, self.configuration, self.stage_times)
+        self.claims = ClaimService(env, self.platform, self.membership.is_alive)
+        self.runner = RequestRunner(env, self._runner_services())
+        self.streams = StreamPeers(env, self.peers, self.runner)
+        self.plans = PlanService(
+            env,
+            self.platform,
+            self.configuration,
+            self.membership,
+            self.backends,
+            self.slots,
+        )
+
+    def _runner_services(self) -> RunnerServices:
+        return RunnerServices(
+            configuration=self.configuration,
+            admission=self.admission,
+            router=self.router,
+            backends=self.backends,
+            claims=self.claims,
+            budgets=RetryBudgets(self.env),
+            stage_times=self.stage_times,
+        )
+
+    def _application(self) -> Application:
+        callers = CallerServices(
+            env=self.env,
+            configuration=self.configuration,
+            membership=self.membership,
+            runner=self.runner,
+            streams=self.streams,
+            claims=self.claims,
+            keys=CustomerKeys(self.configuration),
+        )
+
+        async def outcomes(customer_id: str, request_id: str) -> Any:
+            return await find_outcome(callers, customer_id, request_id)
+
+        operators = OperatorServices(
+            env=self.env,
+            configuration=self.configuration,
+            membership=self.membership,
+            slots=self.slots,
+            plans=self.plans,
+            outcomes=outcomes,
+        )
+        routes = [
+            *caller_routes(callers),
+            *operator_routes(operators),
+            *health_routes(self.env, self.is_ready),
+        ]
+        return Application(
+            routes,
+            default_handler_class=UnknownPathHandler,
+            log_function=lambda handler: None,
+        )
+
+    def is_ready(self) -> bool:
+        return not self._draining and self.configuration.is_fresh()
+
+    async def start(self) -> None:
+        """Join the other nodes, learn the newest configuration, then serve."""
+        self._build()
+        self.peers.start(self._peer_sockets)
+        await self.membership.start()
+        self._spawn("membership", self.membership.run())
+        await self.configuration.start()
+        for name, slice_ in (
+            ("configuration", self.configuration),
+            ("slots", self.slots),
+            ("claims", self.claims),
+            ("runner", self.runner),
+            ("plans", self.plans),
+        ):
+            self._spawn(name, slice_.run())
+        http = self.env.settings.http
+        self._server = HTTPServer(
+            self._application(),
+            max_body_size=http.body_limit_bytes * BODY_HARD_LIMIT_FACTOR,
+            body_timeout=http.header_timeout_s,
+            idle_connection_timeout=http.header_timeout_s * 6,
+        )
+        self._server.add_sockets(self._http_sockets)
+        identity = self.env.identity
+        log_event(
+            self.env.logger,
+            "node_started",
+            incarnation=identity.incarnation,
+            http_port=identity.http_port,
+            peer_port=identity.peer_port,
+            configuration_version=self.configuration.current.version,
+        )
+
+    async def stop(self) -> int:
+        """Stop gracefully; return how many requests had to be cut.
+
+        Goes on serving until the address answers that name this node have expired.
+        """
+        self._draining = True
+        settings = self.env.settings
+        log_event(self.env.logger, "node_leaving", running=self.runner.running_count())
+        await self.membership.leave()
+        await asyncio.sleep(settings.membership.address_keep_s)
+        self._server.stop()
+        cut = await self.runner.drain(settings.shutdown.limit_s)
+        await self.slots.hand_back()
+        await self.claims.flush()
+        for task in self._tasks:
+            task.cancel()
+        await self._server.close_all_connections()
+        self.peers.stop()
+        log_event(self.env.logger, "node_stopped", requests_cut=cut)
+        return cut
+
+    def _spawn(self, name: str, work: Coroutine) -> None:
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(self._on_task_end)
+        self._tasks.append(task)
+
+    def _on_task_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        log_event(
+            self.env.logger,
+            "task_failed",
+            task=task.get_name(),
+            error=repr(task.exception()),
+        )
+
+
+def _port(sockets: list[socket.socket]) -> int:
+    return sockets[0].getsockname()[1]
--- /dev/null
+++ b/egretshed/requests/tests/streams.feature
@@ -0,0 +1,61 @@
+Feature: A reader that reconnects gets every item of its stream exactly once
+
+  Scenario Outline: Resume <case>
+    Given a stream with the items <items>
+    When a reader asks for what follows <after>
+    Then it gets the batches <batches>
+
+    # Guards against P4: missing or doubled tokens after a reconnect.
+    Examples:
+      | case                     | items          | after | batches                |
+      | from the start           | a b c          | 0     | 3:tokens=a+b+c         |
+      | in the middle            | a b c          | 2     | 3:tokens=c             |
+      | at the end               | a b c          | 3     | nothing                |
+      | across a reset           | a reset b      | 0     | 1:tokens=a 2:reset 3:tokens=b |
+      | after a reset            | a reset b      | 2     | 3:tokens=b             |
+      | with the final item      | a final        | 1     | 2:final                |
+      | of a finished stream     | a b final      | 0     | 2:tokens=a+b 3:final   |
+      | beyond the end           | a              | 9     | nothing                |
+
+  Scenario: A stream whose buffer was dropped reports a gap instead of a hole
+    Given a stream with the items a b final
+    When its buffer is dropped
+    And a reader asks for what follows 1
+    Then it gets a stream gap that names item 4 as the oldest
+
+  Scenario: A second outcome of one request is an invariant violation (P1)
+    Given a stream with the items a final
+    When a second outcome is written
+    Then the invariant "P1_one_outcome" is violated
+
+  Scenario Outline: The final answer to <error> is <outcome>
+    Given a request that <sent> and <rule> be repeated
+    When it ends with <error>
+    Then its outcome is <outcome>
+    And the outcome <wait> a time to return
+
+    # Guards against P5 (a false not_run) and P6 (inviting a repeat of what may have run).
+    Examples:
+      | sent         | rule    | error            | outcome | wait    |
+      | was not sent | may     | NotRun           | not_run | has     |
+      | was not sent | may not | NotRun           | not_run | has     |
+      | was sent     | may     | RequestFailed    | failed  | has     |
+      | was sent     | may not | RequestFailed    | failed  | has not |
+      | was sent     | may not | OutcomeUnknown   | unknown | has not |
+      | was sent     | may not | PeerUnavailable  | unknown | has not |
+      | was sent     | may     | PeerUnavailable  | failed  | has     |
+      | was sent     | may     | NotRun           | failed  | has     |
+      | was sent     | may not | NotRun           | unknown | has not |
+      | was not sent | may not | TableUnavailable | not_run | has     |
+
+  Scenario Outline: A buffer <age> s after its end is <kept>
+    Given a stream in a store that keeps buffers for 60 s
+    When it has ended and <age> s have passed
+    Then its buffer is <kept> and its outcome is <outcome>
+
+    # Guards against unbounded memory and against dropping what may still be resumed.
+    Examples:
+      | age | kept    | outcome |
+      | 59  | kept    | kept    |
+      | 61  | dropped | kept    |
+      | 301 | dropped | dropped |
