--- /dev/null
+++ b/bench/driver.py
@@ -0,0 +1,106 @@
+"""Open-loop load over HTTP: arrivals do not wait for answers.
+
+`python -m bench.driver --deployment examples/laurentien --entry 127.0.0.1:8080
+--rate 5 --seconds 30 --burst 10:40 --seed 1 --write result.json` prints the summary and
+writes it with every request's record.
+"""
+
+import argparse
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+from bench.addresses import AddressBook
+from bench.caller import Caller
+from bench.http_stream import Address
+from bench.records import (
+    RequestRecord,
+    summarise,
+)
+from bench.schedule import (
+    Burst,
+    Deployment,
+    Load,
+    PlannedRequest,
+    plan_requests,
+    read_deployment,
+)
+from egretshed.clock import (
+    Clock,
+    SystemClock,
+)
+
+
+class LoadDriver:
+    """Sends planned requests on time; each customer is one caller with its cache."""
+
+    def __init__(self, clock: Clock, deployment: Deployment, known: list[Address]):
+        self.clock = clock
+        self.deployment = deployment
+        self.callers = {
+            name: Caller(clock, AddressBook(clock, known, name), key)
+            for name, key in deployment.customer_keys.items()
+        }
+
+    async def run(self, plan: list[PlannedRequest]) -> list[RequestRecord]:
+        """Return the records in the order of the plan, once all have ended."""
+        start_s = self.clock.monotonic_s()
+        tasks = []
+        for planned in plan:
+            wait_s = start_s + planned.at_s - self.clock.monotonic_s()
+            if wait_s > 0:
+                await self.clock.sleep(wait_s)
+            tasks.append(asyncio.create_task(self._run_one(planned, start_s)))
+        return list(await asyncio.gather(*tasks))
+
+    async def _run_one(self, planned: PlannedRequest, start_s: float) -> RequestRecord:
+        caller = self.callers[planned.customer_id]
+        rules = self.deployment.kinds[planned.kind]
+        return await caller.run(planned, rules, start_s)
+
+
+def parse_address(text: str) -> Address:
+    host, _, port = text.removeprefix("http://").rpartition(":")
+    return Address(host, int(port))
+
+
+def parse_burst(text: str) -> Burst:
+    at_s, _, requests = text.partition(":")
+    return Burst(float(at_s), int(requests))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--deployment", type=Path, required=True)
+    parser.add_argument(
+        "--entry", type=parse_address, action="append", required=True, help="host:port"
+    )
+    parser.add_argument("--rate", type=float, default=5.0, help="requests per second")
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--burst", type=parse_burst, action="append", default=[], help="at_s:requests"
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--run", default="run", help="prefix of the request ids")
+    parser.add_argument("--write", type=Path)
+    options = parser.parse_args()
+    load = Load(
+        options.rate,
+        options.seconds,
+        tuple(options.burst),
+        options.seed,
+        options.run,
+    )
+    deployment = read_deployment(options.deployment)
+    driver = LoadDriver(SystemClock(), deployment, options.entry)
+    records = asyncio.run(driver.run(plan_requests(deployment, load)))
+    summary = summarise(records)
+    print(msgspec.json.format(msgspec.json.encode(summary), indent=2).decode())
+    if options.write:
+        body = {"summary": summary, "requests": [r.to_body() for r in records]}
+        options.write.write_bytes(msgspec.json.encode(body))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/schedule.py
@@ -0,0 +1,126 @@
+"""When callers send which requests, fixed by a seed before the run.
+
+The mix of a deployment is `mix.json`: by kind, its `share` of the requests and the
+length of its prompt, `prompt_characters`.
+"""
+
+import random
+from pathlib import Path
+from typing import (
+    Any,
+    NamedTuple,
+)
+
+import msgspec
+
+BURST_SPREAD_S = 1.0
+SESSIONS = 4
+PROMPT_WORD = "record "
+
+
+class KindRules(NamedTuple):
+    """What a caller knows of a kind; `max_tokens` is 0 for a plain service."""
+
+    name: str
+    deadline_s: float
+    max_tokens: int
+    share: float
+    prompt_characters: int
+
+
+class PlannedRequest(NamedTuple):
+    """`at_s` counts from the start of the run."""
+
+    at_s: float
+    request_id: str
+    customer_id: str
+    kind: str
+    body: dict[str, Any]
+
+
+class Burst(NamedTuple):
+    """So many requests within one second, as after a power cut."""
+
+    at_s: float
+    requests: int
+
+
+class Load(NamedTuple):
+    """Open-loop load of one run; `rate` is requests per second."""
+
+    rate: float
+    seconds: float
+    bursts: tuple[Burst, ...] = ()
+    seed: int = 1
+    run: str = "run"
+
+
+class Deployment(NamedTuple):
+    """The part of a deployment that callers know."""
+
+    kinds: dict[str, KindRules]
+    customer_shares: dict[str, float]
+    customer_keys: dict[str, str]
+
+
+def read_deployment(folder: Path) -> Deployment:
+    kinds = _read(folder / "kinds.json")
+    mix = _read(folder / "mix.json")
+    customers = _read(folder / "customers.json")
+    return Deployment(
+        kinds={
+            name: KindRules(
+                name,
+                kinds[name]["deadline_s"],
+                kinds[name].get("max_tokens", 0) if "pipeline" in kinds[name] else 0,
+                rules["share"],
+                rules["prompt_characters"],
+            )
+            for name, rules in mix.items()
+        },
+        customer_shares={name: c["share"] for name, c in customers.items()},
+        customer_keys=_read(folder / "sample_keys.json")["customers"],
+    )
+
+
+def plan_requests(deployment: Deployment, load: Load) -> list[PlannedRequest]:
+    """Return Poisson arrivals and bursts by time, the same for the same seed."""
+    source = random.Random(load.seed)
+    times = []
+    at_s = 0.0
+    while load.rate > 0:
+        at_s += source.expovariate(load.rate)
+        if at_s >= load.seconds:
+            break
+        times.append(at_s)
+    for burst in load.bursts:
+        times += [
+            burst.at_s + source.random() * BURST_SPREAD_S for _ in range(burst.requests)
+        ]
+    return [
+        _plan(deployment, load, number, at_s, source)
+        for number, at_s in enumerate(sorted(times))
+    ]
+
+
+def _plan(deployment, load: Load, number: int, at_s: float, source) -> PlannedRequest:
+    kind = _draw(source, {name: k.share for name, k in deployment.kinds.items()})
+    customer_id = _draw(source, deployment.customer_shares)
+    rules = deployment.kinds[kind]
+    words = rules.prompt_characters // len(PROMPT_WORD)
+    session = f"{customer_id}-{source.randrange(SESSIONS)}"
+    return PlannedRequest(
+        at_s=at_s,
+        request_id=f"{load.run}-{load.seed}-{number}",
+        customer_id=customer_id,
+        kind=kind,
+        body={"prompt": PROMPT_WORD * words, "session": session},
+    )
+
+
+def _draw(source: random.Random, weights: dict[str, float]) -> str:
+    return source.choices(list(weights), list(weights.values()))[0]
+
+
+def _read(file: Path) -> dict[str, Any]:
+    return msgspec.json.decode(file.read_bytes())
