--- a/egretshed/backends/http.py
+++ b/egretshed/backends/http.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 from tornado.httpclient import (
@@ -101,11 +102,9 @@
         return response.body if response.code == 200 else None
 
     async def import_cache(self, prefix: str, body: bytes) -> bool:
-        request = {"prefix": prefix, "body": body.decode("latin-1")}
-        response = await self.fetch(
-            "POST", "/cache/import", request, {}, CONTROL_TIMEOUT_S
-        )
-        return response.code == 200
+        path = f"/cache/import?prefix={quote(prefix, safe='')}"
+        response = await self.fetch("POST", path, body, {}, CONTROL_TIMEOUT_S)
+        return response.code == 200 and decode_object(response)["imported"]
 
     async def fetch(
         self,
@@ -116,11 +115,16 @@
         timeout_s: float,
         on_chunk=None,
     ) -> HTTPResponse:
-        """Return the response, or raise a typed failure if there was none."""
+        """Return the response, or raise a typed failure if there was none.
+
+        `body` is sent as it is if it is bytes, otherwise as JSON.
+        """
+        if body is not None and not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
         request = HTTPRequest(
             self.replica.url + path,
             method=method,
-            body=None if body is None else msgspec.json.encode(body),
+            body=body,
             headers=headers,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
