Add membership service

Cause: slots, routing, callers and plans need to know which nodes are alive. Change: probes, suspicions, refutation, VM list, ownership and addresses.

--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -244,6 +244,14 @@
     http_status = 401
 
 
+class NodeSuperseded(EgretshedError):
+    """A newer process runs under this node id. Field: `incarnation`."""
+
+    code = "node_superseded"
+    http_status = 503
+    exit_status = ExitStatus.CONFLICT
+
+
 # Configuration and plans.
 
 
--- /dev/null
+++ b/egretshed/membership/ownership.py
@@ -0,0 +1,102 @@
+"""Which node owns a replica, and which share of a limit an owner may lend."""
+
+import math
+from typing import NamedTuple
+
+import xxhash
+
+from egretshed.configuration.schema import Replica
+from egretshed.membership.members import Member
+from egretshed.membership.view import FleetView
+from egretshed.membership.vm_list import ListedVms
+
+
+class LendingShare(NamedTuple):
+    """Share of a replica's limit that its owner may lend, by nodes of its region."""
+
+    heard: int
+    listed: int
+    rounds_up: bool
+
+    def slots(self, limit: int) -> int:
+        """Return how many of `limit` slots may be lent."""
+        if self.listed == 0:
+            return 0
+        share = limit * self.heard / self.listed
+        return math.ceil(share) if self.rounds_up else math.floor(share)
+
+
+class Ownership:
+    """Rendezvous hashing over the nodes that are heard, listed and not leaving.
+
+    Results are kept until the view or the list changes.
+    """
+
+    def __init__(self, view: FleetView, vms: ListedVms):
+        self.view = view
+        self.vms = vms
+        self._revision = (-1, -1)
+        self._owners: dict[tuple[str, str], str | None] = {}
+        self._shares: dict[str, LendingShare] = {}
+        self._candidates: dict[str, list[Member]] = {}
+
+    def owner_of(self, replica: Replica, region: str) -> str | None:
+        """Return the owner: from the failure domain, else the region, else anywhere."""
+        self._refresh()
+        key = (replica.replica_id, region)
+        if key not in self._owners:
+            nodes = (
+                self._candidates.get(f"domain/{region}/{replica.failure_domain}")
+                or self._candidates.get(f"region/{region}")
+                or self._candidates.get("all")
+                or []
+            )
+            best = max(
+                nodes,
+                key=lambda node: _weight(node.node_id, replica.replica_id),
+                default=None,
+            )
+            self._owners[key] = best.node_id if best else None
+        return self._owners[key]
+
+    def lending_share(self, region: str) -> LendingShare:
+        """Count the region's listed nodes, or all listed ones if it has none."""
+        self._refresh()
+        if region not in self._shares:
+            self._shares[region] = self._count(region)
+        return self._shares[region]
+
+    def _count(self, region: str) -> LendingShare:
+        entries = self.vms.entries.values()
+        listed = [vm.node_id for vm in entries if vm.region == region]
+        listed = listed or [vm.node_id for vm in entries]
+        heard = [node_id for node_id in listed if self._is_heard(node_id)]
+        doubled = 2 * len(heard)
+        has_tie_breaker = doubled == len(listed) and min(listed, default="") in heard
+        return LendingShare(
+            len(heard), len(listed), doubled > len(listed) or has_tie_breaker
+        )
+
+    def _is_heard(self, node_id: str) -> bool:
+        member = self.view.members.get(node_id)
+        return member is not None and member.is_heard
+
+    def _refresh(self) -> None:
+        revision = (self.view.revision, self.vms.revision)
+        if revision == self._revision:
+            return
+        self._revision = revision
+        self._owners.clear()
+        self._shares.clear()
+        self._candidates.clear()
+        for node_id, vm in self.vms.entries.items():
+            member = self.view.members.get(node_id)
+            if member is None or not member.is_heard or member.leaving or vm.leaving:
+                continue
+            domain = f"domain/{member.region}/{member.failure_domain}"
+            for group in (domain, f"region/{member.region}", "all"):
+                self._candidates.setdefault(group, []).append(member)
+
+
+def _weight(node_id: str, replica_id: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(f"{node_id}|{replica_id}"), node_id
--- /dev/null
+++ b/egretshed/membership/service.py
@@ -0,0 +1,199 @@
+"""Membership of the entry nodes, as the other slices use it."""
+
+import asyncio
+from collections.abc import Callable
+
+from egretshed.configuration.schema import Replica
+from egretshed.environment import Environment
+from egretshed.errors import NodeSuperseded
+from egretshed.logs import log_event
+from egretshed.membership.addresses import (
+    AddressBook,
+    HandedOutAddress,
+)
+from egretshed.membership.members import Member
+from egretshed.membership.ownership import (
+    LendingShare,
+    Ownership,
+)
+from egretshed.membership.pause import PauseDetector
+from egretshed.membership.probes import Prober
+from egretshed.membership.rejoin import Rejoiner
+from egretshed.membership.view import FleetView
+from egretshed.membership.vm_list import ListedVms
+from egretshed.peers.network import (
+    PeerAddress,
+    PeerNetwork,
+    Sender,
+)
+from egretshed.platform.interface import (
+    ListedVm,
+    Platform,
+)
+
+ANNOUNCE_TO = 3
+NO_SHARE = LendingShare(0, 0, False)
+
+
+class MembershipService:
+    """Who is alive, who is listed, who owns which replica, and where callers may go.
+
+    `load_source` returns this node's load in thousandths; `version_source` its
+    configuration version. Both are read for each probe.
+    """
+
+    def __init__(self, env: Environment, platform: Platform, peers: PeerNetwork):
+        self.env = env
+        self.version_source: Callable[[], int] = lambda: 0
+        self.load_source: Callable[[], int] = lambda: 0
+        self.superseded_by: int | None = None
+        self._version_callbacks: list[Callable[[str, int], None]] = []
+        self._superseded_callbacks: list[Callable[[int], None]] = []
+        self._vms = ListedVms(env, platform.vms)
+        self._view = FleetView(env, self._vms.is_listed, self._note_superseded)
+        self._pause = PauseDetector(
+            env, self.detection_bound_s, self._view.restart_suspicions
+        )
+        self._ownership = Ownership(self._view, self._vms)
+        self._addresses = AddressBook(env, self._view, self._vms)
+        self._prober = Prober(
+            env,
+            peers,
+            self._view,
+            self._pause,
+            self._probe_version,
+            self._note_version,
+            self._check_current,
+        )
+        self._rejoiner = Rejoiner(
+            env, peers, self._view, self._vms, self._check_current
+        )
+
+    async def start(self) -> None:
+        """Read the VM list and fetch the members from a few listed nodes.
+
+        Returns also if neither answers; `run` goes on trying.
+        """
+        await self._vms.read()
+        await self._rejoiner.start()
+
+    async def run(self) -> None:
+        """Run until cancelled, or until a newer process has this node id."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._pause.run())
+                tasks.create_task(self._vms.run())
+                tasks.create_task(self._prober.run())
+                tasks.create_task(self._rejoiner.run())
+        except* NodeSuperseded:
+            log_event(self.env.logger, "membership_stopped")
+
+    def on_version(self, callback: Callable[[str, int], None]) -> None:
+        """Call `callback(node_id, version)` for each version that a peer reports."""
+        self._version_callbacks.append(callback)
+
+    def on_superseded(self, callback: Callable[[int], None]) -> None:
+        """Call `callback(incarnation)` once a newer process has this node id."""
+        self._superseded_callbacks.append(callback)
+
+    @property
+    def is_superseded(self) -> bool:
+        return self.superseded_by is not None
+
+    @property
+    def revision(self) -> tuple[int, int]:
+        """Changes whenever owners or lending shares may have changed."""
+        return self._view.revision, self._vms.revision
+
+    def detection_bound_s(self) -> float:
+        """Return the time within which the death of a node is noticed, as a rule.
+
+        It is the suspicion time and four probe periods: the probe that fails, its
+        indirect probes, and the spread of the suspicion.
+        """
+        period_s = self.env.settings.membership.probe_period_s
+        return self._view.suspicion_limit_s() + 4 * period_s
+
+    def resolve(self, node_id: str) -> PeerAddress | None:
+        """Return where `node_id` listens for peers.
+
+        The list is preferred for a node that is not heard, since a replacement VM may
+        have another address.
+        """
+        member = self._view.members.get(node_id)
+        if member is not None and member.is_heard:
+            return PeerAddress(member.host, member.peer_port)
+        listed = self._vms.entries.get(node_id)
+        if listed is not None:
+            return PeerAddress(listed.host, listed.peer_port)
+        return None
+
+    def is_current(self, sender: Sender) -> bool:
+        """Return False for a process whose node id a newer process has taken."""
+        member = self._view.members.get(sender.node_id)
+        return member is None or member.incarnation <= sender.incarnation
+
+    def member(self, node_id: str) -> Member | None:
+        return self._view.members.get(node_id)
+
+    def heard(self) -> list[Member]:
+        """Return all members that are not dead, this node included."""
+        return self._view.heard()
+
+    def listed(self) -> list[ListedVm]:
+        """Return the entry nodes of the VM list as last read."""
+        return list(self._vms.entries.values())
+
+    def is_settled(self) -> bool:
+        """Return False at start, after a pause, and when superseded."""
+        return not self.is_superseded and self._pause.is_settled()
+
+    def owner_of(self, replica: Replica, region: str) -> str | None:
+        """Return the node that lends the slots of `replica`; `region` is its region."""
+        if self.is_superseded:
+            return None
+        return self._ownership.owner_of(replica, region)
+
+    def lending_share(self, region: str) -> LendingShare:
+        """Return the share of a limit that an owner may lend in `region`."""
+        if self.is_superseded or not self._vms.was_read:
+            return NO_SHARE
+        return self._ownership.lending_share(region)
+
+    def is_backend_leaving(self, replica_id: str) -> bool:
+        return self._vms.is_backend_leaving(replica_id)
+
+    def addresses(self, count: int) -> list[HandedOutAddress]:
+        """Return up to `count` addresses for a caller, in the order to try them."""
+        return [] if self.is_superseded else self._addresses.draw(count)
+
+    async def leave(self) -> None:
+        """Announce that this node leaves; it is no longer handed out or an owner.
+
+        It goes on answering probes until its process ends.
+        """
+        self._view.leave()
+        self._prober.announce(ANNOUNCE_TO)
+
+    def _probe_version(self) -> int:
+        self._view.set_load(self.load_source())
+        return self.version_source()
+
+    def _note_version(self, node_id: str, version: int) -> None:
+        for callback in self._version_callbacks:
+            callback(node_id, version)
+
+    def _note_superseded(self, incarnation: int) -> None:
+        if self.superseded_by is not None:
+            return
+        self.superseded_by = incarnation
+        log_event(self.env.logger, "node_superseded", incarnation=incarnation)
+        for callback in self._superseded_callbacks:
+            callback(incarnation)
+
+    def _check_current(self) -> None:
+        if self.is_superseded:
+            raise NodeSuperseded(
+                "a newer process runs under this node id",
+                incarnation=self.superseded_by,
+            )
--- /dev/null
+++ b/egretshed/membership/view.py
@@ -0,0 +1,175 @@
+"""This node's view of the fleet: merged reports, suspicions and deaths."""
+
+import math
+from collections.abc import (
+    Callable,
+    Iterable,
+)
+
+from egretshed.environment import Environment
+from egretshed.gen.messages.ttypes import (
+    MemberStatus,
+    MemberUpdate,
+)
+from egretshed.logs import log_event
+from egretshed.membership.members import (
+    Member,
+    from_update,
+    merged,
+    own_member,
+    to_update,
+)
+from egretshed.membership.updates import UpdateQueue
+
+MAX_UPDATES = 6  # per message; bounds a probe to well under 1 KB
+FORGET_DEAD_S = 60.0
+DOUBTED = frozenset({MemberStatus.SUSPECT, MemberStatus.DEAD})
+
+
+class FleetView:
+    """Records by node id, this node's own included.
+
+    `is_listed` tells whether the platform lists a node; `on_superseded` is called with
+    the incarnation of a newer process under this node's own id.
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        is_listed: Callable[[str], bool],
+        on_superseded: Callable[[int], None],
+    ):
+        self.env = env
+        self.is_listed = is_listed
+        self.on_superseded = on_superseded
+        self.own_id = env.identity.node_id
+        self.members: dict[str, Member] = {self.own_id: own_member(env)}
+        self.revision = 0
+        self._queue = UpdateQueue()
+        self._suspected_s: dict[str, float] = {}
+        self._dead_s: dict[str, float] = {}
+
+    @property
+    def own(self) -> Member:
+        return self.members[self.own_id]
+
+    def heard(self) -> list[Member]:
+        return [member for member in self.members.values() if member.is_heard]
+
+    def dead(self) -> Iterable[str]:
+        return self._dead_s.keys()
+
+    def suspicion_limit_s(self) -> float:
+        """Return the time that a suspected member has to refute the suspicion.
+
+        It grows with the logarithm of the fleet, as the time to reach every node does.
+        """
+        scale = max(1.0, math.log10(len(self.members)))
+        return self.env.settings.membership.suspicion_s * scale
+
+    def apply(self, update: MemberUpdate) -> None:
+        """Merge one report."""
+        reported = from_update(update)
+        if reported.node_id == self.own_id:
+            self._apply_own(reported)
+            return
+        known = self.members.get(reported.node_id)
+        if known is None:
+            if reported.is_heard or self.is_listed(reported.node_id):
+                self._store(reported)
+            return
+        member = merged(known, reported)
+        if member is not None:
+            self._store(member)
+
+    def note_load(self, node_id: str, load_permille: int) -> None:
+        member = self.members.get(node_id)
+        if member is not None and member.load_permille != load_permille:
+            self.members[node_id] = member._replace(load_permille=load_permille)
+
+    def suspect(self, node_id: str) -> None:
+        """Suspect a member that answered neither directly nor through others."""
+        member = self.members.get(node_id)
+        if member is not None and member.status not in DOUBTED:
+            self._store(member._replace(status=MemberStatus.SUSPECT))
+
+    def expire(self) -> None:
+        """Turn old suspicions into deaths; forget the dead that are not listed."""
+        now_s = self.env.clock.monotonic_s()
+        limit_s = self.suspicion_limit_s()
+        for node_id, since_s in list(self._suspected_s.items()):
+            if now_s - since_s >= limit_s:
+                member = self.members[node_id]
+                self._store(member._replace(status=MemberStatus.DEAD))
+        for node_id, since_s in list(self._dead_s.items()):
+            if now_s - since_s >= FORGET_DEAD_S and not self.is_listed(node_id):
+                del self._dead_s[node_id]
+                del self.members[node_id]
+
+    def restart_suspicions(self) -> None:
+        """Give suspected members their whole time again, after this node paused."""
+        now_s = self.env.clock.monotonic_s()
+        self._suspected_s = dict.fromkeys(self._suspected_s, now_s)
+
+    def leave(self) -> None:
+        if not self.own.leaving:
+            self._replace_own(
+                refutation=self.own.refutation + 1,
+                status=MemberStatus.LEAVING,
+                leaving=True,
+            )
+
+    def set_load(self, load_permille: int) -> None:
+        self.members[self.own_id] = self.own._replace(load_permille=load_permille)
+
+    def updates_for(self, node_id: str) -> list[MemberUpdate]:
+        """Return this node's record, the receiver's if doubted, and waiting updates.
+
+        The receiver's own record goes along whenever it is suspected, dead or of a
+        newer incarnation, so that it can refute that or stop.
+        """
+        chosen = {self.own_id: self.own}
+        receiver = self.members.get(node_id)
+        if receiver is not None and receiver.status in DOUBTED:
+            chosen[node_id] = receiver
+        for other in self._queue.take(MAX_UPDATES - len(chosen)):
+            if other in self.members:
+                chosen[other] = self.members[other]
+        return [to_update(member) for member in chosen.values()]
+
+    def update_of(self, node_id: str) -> MemberUpdate:
+        return to_update(self.members[node_id])
+
+    def _apply_own(self, reported: Member) -> None:
+        own = self.own
+        if reported.incarnation > own.incarnation:
+            self.on_superseded(reported.incarnation)
+        elif reported.incarnation == own.incarnation:
+            doubted = reported.status in DOUBTED
+            if doubted and reported.refutation >= own.refutation:
+                self._replace_own(refutation=reported.refutation + 1)
+
+    def _replace_own(self, **fields) -> None:
+        self._store(self.own._replace(**fields))
+
+    def _store(self, member: Member) -> None:
+        node_id = member.node_id
+        before = self.members.get(node_id)
+        self.members[node_id] = member
+        self._queue.add(node_id, len(self.members))
+        self.revision += 1
+        now_s = self.env.clock.monotonic_s()
+        self._suspected_s.pop(node_id, None)
+        self._dead_s.pop(node_id, None)
+        if member.status == MemberStatus.SUSPECT:
+            self._suspected_s[node_id] = now_s
+        elif member.status == MemberStatus.DEAD:
+            self._dead_s[node_id] = now_s
+        if before is None or before.status != member.status:
+            log_event(
+                self.env.logger,
+                "member_status",
+                member=node_id,
+                incarnation=member.incarnation,
+                status=member.status.name,
+            )
