Add membership tests

Cause: the membership service had no tests. Change: feature tables for views, ownership, addresses; owner hash takes bytes, which a scenario found; more members are probed at once while probes fail, so that a node that was cut off learns within the take-over wait how many nodes it lost. Conclusion: views agree after each listed fault.

--- a/egretshed/membership/ownership.py
+++ b/egretshed/membership/ownership.py
@@ -7,7 +7,10 @@
 
 from egretshed.configuration.schema import Replica
 from egretshed.membership.members import Member
-from egretshed.membership.view import FleetView
+from egretshed.membership.view import (
+    DOUBTED,
+    FleetView,
+)
 from egretshed.membership.vm_list import ListedVms
 
 
@@ -60,7 +63,11 @@
         return self._owners[key]
 
     def lending_share(self, region: str) -> LendingShare:
-        """Count the region's listed nodes, or all listed ones if it has none."""
+        """Count the region's listed nodes, or all listed ones if it has none.
+
+        Suspected nodes count as not heard here: a node that was cut off must lend less
+        before another owner takes over, which happens only after the suspicion time.
+        """
         self._refresh()
         if region not in self._shares:
             self._shares[region] = self._count(region)
@@ -79,7 +86,7 @@
 
     def _is_heard(self, node_id: str) -> bool:
         member = self.view.members.get(node_id)
-        return member is not None and member.is_heard
+        return member is not None and member.status not in DOUBTED
 
     def _refresh(self) -> None:
         revision = (self.view.revision, self.vms.revision)
@@ -99,4 +106,4 @@
 
 
 def _weight(node_id: str, replica_id: str) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(f"{node_id}|{replica_id}"), node_id
+    return xxhash.xxh64_intdigest(f"{node_id}|{replica_id}".encode()), node_id
--- a/egretshed/membership/probes.py
+++ b/egretshed/membership/probes.py
@@ -22,6 +22,10 @@
 
 PEER_FAILURES = (PeerUnavailable, PeerRejected)
 JITTER_SHARE = 0.1
+# After a cut a node must learn how many others it lost within the take-over wait, or
+# two owners could lend the same slots. Probing one a period would take minutes in a
+# fleet of 360, so the number probed at once doubles while most probes fail.
+MAX_PROBES_AT_ONCE = 128
 
 
 class Prober:
@@ -45,6 +49,7 @@
         self.on_version = on_version
         self.check_current = check_current
         self._round: list[str] = []
+        self._probes_at_once = 1
         peers.handle(Probe, self._answer_probe)
         peers.handle(ProbeRequest, self._answer_request)
 
@@ -56,9 +61,7 @@
             began_s = clock.monotonic_s()
             self.pause.is_settled()  # a pause must be noticed before suspicions expire
             self.view.expire()
-            target = self._next_target()
-            if target is not None:
-                await self._probe(target)
+            await self._probe_batch()
             jitter = self.env.random.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
             spent_s = clock.monotonic_s() - began_s
             await clock.sleep(max(0.0, period_s * jitter - spent_s))
@@ -84,12 +87,26 @@
     def _probe_message(self, node_id: str) -> Probe:
         return Probe(self.view.updates_for(node_id), self.version())
 
-    async def _probe(self, target: str) -> None:
+    async def _probe_batch(self) -> None:
+        targets: dict[str, None] = {}
+        for _ in range(self._probes_at_once):
+            target = self._next_target()
+            if target is not None:
+                targets[target] = None
+        results = await asyncio.gather(*(self._probe(target) for target in targets))
+        failed = results.count(False)
+        if failed and 2 * failed >= len(results):
+            self._probes_at_once = min(2 * self._probes_at_once, MAX_PROBES_AT_ONCE)
+        else:
+            self._probes_at_once = 1
+
+    async def _probe(self, target: str) -> bool:
         sent_s = self.env.clock.monotonic_s()
         reached = await self.ping(target) or await self._ping_through_others(target)
         if not reached:
             self.view.suspect(target)
         self.pause.note_probe(sent_s, reached)
+        return reached
 
     async def _ping_through_others(self, target: str) -> bool:
         settings = self.env.settings.membership
--- /dev/null
+++ b/egretshed/membership/tests/membership.feature
@@ -0,0 +1,67 @@
+Feature: Every node knows who is alive, whatever fails
+
+  # Guards against views that disagree with who runs, which misplaces replica owners.
+  Scenario Outline: The view recovers after <fault>
+    Given a settled fleet of 6 nodes in 2 regions
+    When <fault>
+    And <down_s> s pass
+    Then every running node hears <during> nodes
+    When all faults end
+    And 15 s pass
+    Then every running node hears <after> nodes
+    And every running node is settled
+
+    Examples:
+      | fault                                | down_s | during | after |
+      | entry-2 crashes                      | 6      | 5      | 5     |
+      | entry-2 restarts                     | 3      | 6      | 6     |
+      | the regions are separated            | 10     | 3      | 6     |
+      | entry-1 cannot send to entry-2       | 8      | 6      | 6     |
+      | every message is delivered twice     | 5      | 6      | 6     |
+      | the VM list is down                  | 10     | 6      | 6     |
+      | messages to entry-3 take 0.15 s      | 8      | 6      | 6     |
+
+  # Guards against a removed VM that stays in the view for ever.
+  Scenario: A dead node that is no longer listed is forgotten
+    Given a settled fleet of 4 nodes in 1 regions
+    When entry-4 crashes
+    And only entry-1, entry-2, entry-3 are listed
+    And 90 s pass
+    Then no node knows entry-4
+
+  # Guards against two processes that both act for one node id (P6, P2).
+  Scenario: A process whose node id was taken stops serving
+    Given a settled fleet of 4 nodes in 1 regions
+    When entry-2 restarts while the old process goes on
+    And 5 s pass
+    Then the old process of entry-2 is superseded
+    And the old process of entry-2 owns nothing and hands out no address
+    And entry-1 rejects messages of incarnation 1 of entry-2
+
+  # Guards against lending by a node that slept while others took over (P2).
+  Scenario Outline: A node that paused <pause_s> s is settled at once: <settled>
+    Given a settled fleet of 4 nodes in 1 regions
+    When entry-2 is paused for <pause_s> s
+    Then entry-2 settled is <settled>
+    When 4 s pass
+    Then entry-2 settled is True
+
+    Examples:
+      | pause_s | settled |
+      | 0.5     | True    |
+      | 1.5     | False   |
+      | 30      | False   |
+
+  # Guards against acting on no knowledge right after the start (P2).
+  Scenario: A starting node is not settled and lends nothing without a VM list
+    Given the VM list is down
+    And a fleet of 3 nodes that has just started
+    Then entry-1 settled is False
+    And entry-1 may lend 0 of 2 slots in region r1
+    When 10 s pass
+    Then entry-1 may lend 0 of 2 slots in region r1
+
+  # Guards against probes that grow with the fleet.
+  Scenario: A probe carries a bounded number of updates
+    Given a settled fleet of 20 nodes in 1 regions
+    Then no probe carried more than 6 updates
