Add measured stage times, retry budgets and the retry decision

Cause: the request runner needs one place that says whether a failed attempt may be repeated, and budgets that keep retries a fixed share of calls. Change: StageTimes (decaying histograms by pool), divide_deadline, hedge_delay_s, RetryBudgets by customer and stage, decide_retry with typed final failures. Conclusion: not_run is answered only if no attempt reached a backend server; a call that may have run is never repeated unless it is repeatable.

--- /dev/null
+++ b/egretshed/retries/budgets.py
@@ -0,0 +1,52 @@
+"""Retry budgets: retries stay a fixed share of calls, whatever fails."""
+
+from collections import OrderedDict
+
+from egretshed.environment import Environment
+
+MAX_BUCKETS = 16_384  # 4,100 customers with 4 stages each
+
+
+class RetryBudgets:
+    """Token buckets by customer and stage, and one per stage over all customers.
+
+    Each call adds `budget_share` of a token and each retry takes one from both buckets.
+    The bucket of the stage holds back an overload that is spread over many customers.
+    """
+
+    def __init__(self, env: Environment):
+        self._settings = env.settings.retries
+        self._buckets: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._refused = env.metrics.counter(
+            "retries_refused_total", "Retries refused by a budget", ("stage",)
+        )
+
+    def note_call(self, customer_id: str, stage: str) -> None:
+        """Count one first attempt."""
+        share = self._settings.budget_share
+        for key in _keys(customer_id, stage):
+            self._put(key, self._tokens(key) + share)
+
+    def allow_retry(self, customer_id: str, stage: str) -> bool:
+        """Take one retry from the budget; False leaves the budget unchanged."""
+        keys = _keys(customer_id, stage)
+        if any(self._tokens(key) < 1.0 for key in keys):
+            self._refused.labels(stage).inc()
+            return False
+        for key in keys:
+            self._put(key, self._tokens(key) - 1.0)
+        return True
+
+    def _tokens(self, key: tuple[str, str]) -> float:
+        return self._buckets.get(key, float(self._settings.budget_burst))
+
+    def _put(self, key: tuple[str, str], tokens: float) -> None:
+        self._buckets[key] = min(tokens, float(self._settings.budget_burst))
+        self._buckets.move_to_end(key)
+        if len(self._buckets) > MAX_BUCKETS:
+            self._buckets.popitem(last=False)
+
+
+def _keys(customer_id: str, stage: str) -> tuple[tuple[str, str], tuple[str, str]]:
+    # No customer id is empty, so the empty one stands for all customers.
+    return (customer_id, stage), ("", stage)
--- /dev/null
+++ b/egretshed/retries/tests/steps/retries_steps.py
@@ -0,0 +1,126 @@
+import asyncio
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.errors import (
+    BackendError,
+    BackendRejected,
+    BackendSilent,
+    BackendUnreachable,
+    InvalidRequest,
+    NoReplicaAvailable,
+)
+from egretshed.retries.budgets import RetryBudgets
+from egretshed.retries.decision import (
+    FailedAttempt,
+    Retry,
+    decide_retry,
+)
+from egretshed.retries.stage_times import (
+    StageTimes,
+    divide_deadline,
+    hedge_delay_s,
+)
+from standins.clock import ManualClock
+from standins.environments import make_environment
+
+ERRORS = {
+    "refused": BackendUnreachable(may_have_run=False),
+    "rejected": BackendRejected(),
+    "silent": BackendSilent(),
+    "reset": BackendError(),
+    "no replica": NoReplicaAvailable(),
+    "invalid": InvalidRequest(),
+}
+
+
+@given("an attempt that failed with {error}")
+def failed(context, error):
+    context.attempt = FailedAttempt(
+        ERRORS[error], "c", "rerank", "r1", "a", True, 1, 0, 5.0, 0.5
+    )
+
+
+@given("it is repeatable: {answer}, attempt {attempts:d}, {tokens:d} tokens delivered")
+def progress(context, answer, attempts, tokens):
+    context.attempt = context.attempt._replace(
+        repeatable=answer == "yes", attempts=attempts, delivered_tokens=tokens
+    )
+
+
+@given("{remaining:g} s remain where a call takes 0.5 s, sent before: {sent}")
+def remaining(context, remaining, sent):
+    context.attempt = context.attempt._replace(
+        remaining_s=remaining, sent_before=sent == "yes"
+    )
+
+
+@then('the decision is "{result}"')
+def decision(context, result):
+    budgets = RetryBudgets(make_environment(ManualClock()))
+    decided = decide_retry(context.attempt, budgets, max_attempts=3)
+    if isinstance(decided, Retry):
+        excluded = sorted(decided.excluded_replicas) + sorted(decided.excluded_domains)
+        got = f"retry without {','.join(excluded)}"
+    else:
+        got = f"{decided.failure.code} {decided.failure.fields.get('reason', '')}"
+    assert got.strip() == result, got
+
+
+@when("{customers:d} customers make {calls:d} calls each and every call wants a retry")
+def storm(context, customers, calls):
+    budgets = RetryBudgets(make_environment(ManualClock()))
+    context.retries = 0
+    for _ in range(calls):
+        for customer in range(customers):
+            budgets.note_call(f"c{customer}", "rerank")
+            context.retries += budgets.allow_retry(f"c{customer}", "rerank")
+
+
+@then("at most {most:d} retries were allowed, and at least {least:d}")
+def allowed(context, most, least):
+    assert least <= context.retries <= most, context.retries
+
+
+@given('pool "fast" measured at {fast} s and pool "slow" at {slow} s')
+def measured(context, fast, slow):
+    context.clock = ManualClock()
+    context.times = StageTimes(make_environment(context.clock))
+    for pool, value in (("fast", fast), ("slow", slow)):
+        for _ in range(0 if value == "none" else 50):
+            context.times.observe(pool, float(value), float(value))
+
+
+@when("{remaining:g} s are divided over fast, slow")
+def divide(context, remaining):
+    context.parts = divide_deadline(context.times, ["fast", "slow"], remaining)
+
+
+@then("the slow stage gets from {least:g} to {most:g} s and the sum is {total:g} s")
+def parts(context, least, most, total):
+    assert least <= context.parts[1] <= most, context.parts
+    assert abs(sum(context.parts) - total) < 1e-9, context.parts
+
+
+@when('{later:g} s later pool "fast" is measured at {value:g} s {times:d} times')
+def measured_later(context, later, value, times):
+    asyncio.run(context.clock.advance(later))
+    for _ in range(times):
+        context.times.observe("fast", value, value)
+
+
+@then('the estimate of "fast" is below {limit:g} s')
+def estimate(context, limit):
+    assert context.times.estimate_s("fast") < limit
+
+
+@then('hedging pool "slow" with {enabled}, {repeatable}, {remaining:g} s is {planned}')
+def hedged(context, enabled, repeatable, remaining, planned):
+    delay_s = hedge_delay_s(
+        context.times, "slow", remaining, repeatable == "yes", enabled == "yes"
+    )
+    assert (delay_s is not None) == (planned == "planned"), delay_s
