Add admission: fair queue, adaptive concurrency, spread return times

Cause: a node must refuse at once what cannot end in time, and one customer's flood must not delay the others.

--- /dev/null
+++ b/egretshed/admission/entries.py
@@ -0,0 +1,60 @@
+"""Requests, queued entries and tickets of admission."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+
+class AdmissionRequest(NamedTuple):
+    """A request that asks to run; lower `priority` numbers go first.
+
+    `deadline_s` is the time that remains; `stage_pools` are the pools of its stages.
+    """
+
+    request_id: str
+    customer_id: str
+    kind: str
+    priority: int
+    deadline_s: float
+    stage_pools: tuple[str, ...]
+
+
+class Entry:
+    """A request in the queue; `cost_s` is its expected time from start to end."""
+
+    __slots__ = ("cost_s", "deadline_at_s", "granted", "number", "request")
+
+    def __init__(
+        self,
+        request: AdmissionRequest,
+        number: int,
+        deadline_at_s: float,
+        cost_s: float,
+        granted: asyncio.Future,
+    ):
+        self.request = request
+        self.number = number
+        self.deadline_at_s = deadline_at_s
+        self.cost_s = cost_s
+        self.granted = granted
+
+    def deadline_order(self) -> tuple[float, int]:
+        return self.deadline_at_s, self.number
+
+
+class AdmissionTicket:
+    """The right to run one request; it must be released once."""
+
+    def __init__(self, entry: Entry, started_s: float, on_release: Callable[..., None]):
+        self.request = entry.request
+        self.cost_s = entry.cost_s
+        self.deadline_at_s = entry.deadline_at_s
+        self.started_s = started_s
+        self._on_release = on_release
+        self._released = False
+
+    def release(self, completed: bool) -> None:
+        """Give the right back; `completed` is True for a whole answer."""
+        if not self._released:
+            self._released = True
+            self._on_release(self, completed)
--- /dev/null
+++ b/egretshed/admission/queue.py
@@ -0,0 +1,182 @@
+"""Admission of requests on one node: run now, wait in turn, or be refused at once."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Protocol
+
+from egretshed.admission.concurrency import ConcurrencyLimit
+from egretshed.admission.entries import (
+    AdmissionRequest,
+    AdmissionTicket,
+    Entry,
+)
+from egretshed.admission.fair_queue import FairQueue
+from egretshed.admission.return_times import ReturnTimes
+from egretshed.configuration.schema import Configuration
+from egretshed.environment import Environment
+from egretshed.errors import NotRun
+from egretshed.invariants import require
+from egretshed.retries.stage_times import StageTimes
+
+TICK_S = 0.05
+DEFAULT_SHARE = 1.0
+
+
+class ConfigurationSource(Protocol):
+    current: Configuration
+
+
+class AdmissionQueue:
+    """Admits requests in the order of `FairQueue`, up to `ConcurrencyLimit`.
+
+    Example::
+
+        ticket = await queue.admit(request)
+        try:
+            completed = await run(request)
+        finally:
+            ticket.release(completed)
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        configuration: ConfigurationSource,
+        stage_times: StageTimes,
+        available: Callable[[], int] | None = None,
+    ):
+        self._env = env
+        self._configuration = configuration
+        self._stage_times = stage_times
+        self._kind_times = StageTimes(env)
+        self._measured_kinds: set[str] = set()
+        self._queue = FairQueue(self._share_of)
+        self.concurrency = ConcurrencyLimit(env, available)
+        self._returns = ReturnTimes(env)
+        self._numbers = itertools.count()
+        self._refused = env.metrics.counter(
+            "admission_refused_total", "Requests refused", ("reason",)
+        )
+        self._queued = env.metrics.gauge("admission_queued", "Requests in the queue")
+
+    @property
+    def queued(self) -> int:
+        return len(self._queue)
+
+    async def run(self) -> None:
+        """Expire queued requests and use slots that become free, until cancelled."""
+        while True:
+            await self._env.clock.sleep(TICK_S)
+            self._dispatch()
+
+    async def admit(self, request: AdmissionRequest) -> AdmissionTicket:
+        """Return when the request may run.
+
+        Raises `NotRun` with `reason` (`too_late`, `queue_full`, `deadline_in_queue`)
+        and `retry_after_s` in seconds.
+        """
+        entry = self._make_entry(request)
+        self._queue.add(entry)
+        if not self._can_end_in_time(entry):
+            self._queue.remove(entry)
+            raise self._refuse(entry, "too_late")
+        if len(self._queue) > self._env.settings.admission.queue_requests:
+            self._drop(self._queue.pop_worst(), "queue_full")
+        self._dispatch()
+        try:
+            return await entry.granted
+        except asyncio.CancelledError:
+            self._withdraw(entry)
+            raise
+
+    def _make_entry(self, request: AdmissionRequest) -> Entry:
+        return Entry(
+            request,
+            next(self._numbers),
+            self._env.clock.monotonic_s() + request.deadline_s,
+            self.expected_cost_s(request),
+            asyncio.get_running_loop().create_future(),
+        )
+
+    def expected_cost_s(self, request: AdmissionRequest) -> float:
+        """Return the median time of the kind, or of its stages if not yet measured."""
+        if request.kind in self._measured_kinds:
+            return self._kind_times.estimate_s(request.kind)
+        return sum(self._stage_times.estimate_s(pool) for pool in request.stage_pools)
+
+    def _can_end_in_time(self, entry: Entry) -> bool:
+        if self._may_probe():
+            return True
+        if entry.request.deadline_s < entry.cost_s:
+            return False
+        if len(self._queue) == 1 and self.concurrency.free() > 0:
+            return True
+        ahead_s = self._queue.ahead_s(entry) + entry.cost_s
+        wait_s = ahead_s / int(self.concurrency.limit)
+        return wait_s + entry.cost_s <= entry.request.deadline_s
+
+    def _may_probe(self) -> bool:
+        """Whether a request runs whatever its estimate.
+
+        Without this, an estimate above every deadline would never be measured again.
+        """
+        return self.concurrency.running == 0
+
+    def _dispatch(self) -> None:
+        now_s = self._env.clock.monotonic_s()
+        while (expired := self._queue.pop_expired(now_s)) is not None:
+            self._drop(expired, "deadline_in_queue")
+        free = self.concurrency.free() if len(self._queue) else 0
+        while free > 0 and (entry := self._queue.pop()) is not None:
+            is_late = now_s + entry.cost_s > entry.deadline_at_s
+            if is_late and not self._may_probe():
+                self._drop(entry, "deadline_in_queue")
+            elif not entry.granted.done():
+                self._grant(entry, now_s)
+                free -= 1
+        self._queued.set(len(self._queue))
+
+    def _grant(self, entry: Entry, now_s: float) -> None:
+        running = self.concurrency.running
+        most = self._env.settings.admission.running_requests
+        require(self._env, running < most, "P2_admission_limit", running=running)
+        self.concurrency.started()
+        entry.granted.set_result(AdmissionTicket(entry, now_s, self._release))
+
+    def _release(self, ticket: AdmissionTicket, completed: bool) -> None:
+        now_s = self._env.clock.monotonic_s()
+        took_s = now_s - ticket.started_s
+        if completed:
+            self._kind_times.observe(ticket.request.kind, took_s, took_s)
+            self._measured_kinds.add(ticket.request.kind)
+        self.concurrency.ended(completed and now_s <= ticket.deadline_at_s)
+        self._dispatch()
+
+    def _withdraw(self, entry: Entry) -> None:
+        """Undo an admission whose caller no longer waits for it."""
+        if self._queue.remove(entry):
+            return
+        granted = entry.granted
+        if granted.done() and not granted.cancelled() and not granted.exception():
+            granted.result().release(completed=False)
+
+    def _drop(self, entry: Entry, reason: str) -> None:
+        failure = self._refuse(entry, reason)
+        if not entry.granted.done():
+            entry.granted.set_exception(failure)
+
+    def _refuse(self, entry: Entry, reason: str) -> NotRun:
+        self._refused.labels(reason).inc()
+        slots = int(self.concurrency.limit)
+        return NotRun(
+            "the request was refused before it started",
+            reason=reason,
+            retry_after_s=self._returns.next_s(
+                self._queue.backlog_s, entry.cost_s, slots
+            ),
+        )
+
+    def _share_of(self, customer_id: str) -> float:
+        customer = self._configuration.current.customers.get(customer_id)
+        return DEFAULT_SHARE if customer is None else customer.share
