--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -215,12 +215,17 @@
         cut = await self.runner.drain(settings.shutdown.limit_s)
         await self.slots.hand_back()
         await self.claims.flush()
+        await self.close()
+        log_event(self.env.logger, "node_stopped", requests_cut=cut)
+        return cut
+
+    async def close(self) -> None:
+        """End all tasks and connections at once, without leaving gracefully."""
         for task in self._tasks:
             task.cancel()
+        self._server.stop()
         await self._server.close_all_connections()
         self.peers.stop()
-        log_event(self.env.logger, "node_stopped", requests_cut=cut)
-        return cut
 
     def _spawn(self, name: str, work: Coroutine) -> None:
         task = asyncio.create_task(work, name=name)
