--- a/bench/driver.py
+++ b/bench/driver.py
@@ -13,7 +13,10 @@
 
 from bench.addresses import AddressBook
 from bench.caller import Caller
-from bench.http_stream import Address
+from bench.http_stream import (
+    Address,
+    parse_url,
+)
 from bench.records import (
     RequestRecord,
     summarise,
@@ -60,11 +63,6 @@
         return await caller.run(planned, rules, start_s)
 
 
-def parse_address(text: str) -> Address:
-    host, _, port = text.removeprefix("http://").rpartition(":")
-    return Address(host, int(port))
-
-
 def parse_burst(text: str) -> Burst:
     at_s, _, requests = text.partition(":")
     return Burst(float(at_s), int(requests))
@@ -74,7 +72,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--deployment", type=Path, required=True)
     parser.add_argument(
-        "--entry", type=parse_address, action="append", required=True, help="host:port"
+        "--entry", type=parse_url, action="append", required=True, help="host:port"
     )
     parser.add_argument("--rate", type=float, default=5.0, help="requests per second")
     parser.add_argument("--seconds", type=float, default=10.0)
--- a/bench/http_stream.py
+++ b/bench/http_stream.py
@@ -36,6 +36,12 @@
     port: int
 
 
+def parse_url(text: str) -> Address:
+    """Return the address in ``http://host:port`` or ``host:port``."""
+    host, _, port = text.removeprefix("http://").rpartition(":")
+    return Address(host, int(port))
+
+
 class Response(NamedTuple):
     status: int
     headers: HTTPHeaders
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,74 @@
+"""Processes that a run starts on this machine, each ended by its pid."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+from pathlib import Path
+
+from egretshed.clock import Clock
+from standins.http_server import LOOPBACK
+
+POLL_S = 0.05
+KILL_WAIT_S = 5.0
+
+
+class NotStarted(Exception):
+    """A process ended or was not ready in time; the text has its last log lines."""
+
+
+class ManagedProcess:
+    """A subprocess with its log file."""
+
+    def __init__(self, clock: Clock, name: str, command: list[str], log: Path):
+        self.clock = clock
+        self.name = name
+        self.log = log
+        with log.open("ab") as output:
+            self.process = subprocess.Popen(
+                command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    async def wait(self, limit_s: float) -> int | None:
+        """Return the exit code, or None if the process still runs after `limit_s`."""
+        end_s = self.clock.monotonic_s() + limit_s
+        while self.process.poll() is None and self.clock.monotonic_s() < end_s:
+            await asyncio.sleep(POLL_S)
+        return self.process.poll()
+
+    async def stop(self, limit_s: float) -> int:
+        """Ask the process to end; kill it after `limit_s`. Return the exit code."""
+        self.signal(signal.SIGTERM)
+        status = await self.wait(limit_s)
+        return await self.kill() if status is None else status
+
+    async def kill(self) -> int:
+        self.signal(signal.SIGKILL)
+        return await self.wait(KILL_WAIT_S)
+
+    async def until(self, is_ready, limit_s: float) -> None:
+        """Poll the async `is_ready`; raise `NotStarted` if it does not become so."""
+        end_s = self.clock.monotonic_s() + limit_s
+        while not await is_ready():
+            if self.process.poll() is not None:
+                raise NotStarted(f"{self.name} ended early:\n{self.log_tail()}")
+            if self.clock.monotonic_s() > end_s:
+                raise NotStarted(f"{self.name} is not ready:\n{self.log_tail()}")
+            await asyncio.sleep(POLL_S)
+
+    def log_tail(self, lines: int = 20) -> str:
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now, held together so that they differ."""
+    held = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    ports = [server.getsockname()[1] for server in held]
+    for server in held:
+        server.close()
+    return ports
