--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -992,6 +992,7 @@
      - completed_calls
      - failed_calls
      - seems_cold
+     - loan_id
 
     """
 
@@ -1005,10 +1006,11 @@
         'completed_calls',
         'failed_calls',
         'seems_cold',
+        'loan_id',
     )
 
 
-    def __init__(self, replica_id=None, wanted_slots=None, held_slots=None, running_calls=None, longest_remaining_ms=None, first_token_p95_ms=None, completed_calls=None, failed_calls=None, seems_cold=None,):
+    def __init__(self, replica_id=None, wanted_slots=None, held_slots=None, running_calls=None, longest_remaining_ms=None, first_token_p95_ms=None, completed_calls=None, failed_calls=None, seems_cold=None, loan_id=None,):
         self.replica_id = replica_id
         self.wanted_slots = wanted_slots
         self.held_slots = held_slots
@@ -1018,6 +1020,7 @@
         self.completed_calls = completed_calls
         self.failed_calls = failed_calls
         self.seems_cold = seems_cold
+        self.loan_id = loan_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1073,6 +1076,11 @@
                     self.seems_cold = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.loan_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1119,6 +1127,10 @@
             oprot.writeFieldBegin('seems_cold', TType.BOOL, 9)
             oprot.writeBool(self.seems_cold)
             oprot.writeFieldEnd()
+        if self.loan_id is not None:
+            oprot.writeFieldBegin('loan_id', TType.I64, 10)
+            oprot.writeI64(self.loan_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1159,18 +1171,21 @@
     Attributes:
      - incarnation
      - demands
+     - sequence
 
     """
 
     __slots__ = (
         'incarnation',
         'demands',
+        'sequence',
     )
 
 
-    def __init__(self, incarnation=None, demands=None,):
+    def __init__(self, incarnation=None, demands=None, sequence=None,):
         self.incarnation = incarnation
         self.demands = demands
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1197,6 +1212,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1218,6 +1238,10 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1509,18 +1533,21 @@
     Attributes:
      - incarnation
      - demands
+     - sequence
 
     """
 
     __slots__ = (
         'incarnation',
         'demands',
+        'sequence',
     )
 
 
-    def __init__(self, incarnation=None, demands=None,):
+    def __init__(self, incarnation=None, demands=None, sequence=None,):
         self.incarnation = incarnation
         self.demands = demands
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1547,6 +1574,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1568,6 +1600,10 @@
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2803,12 +2839,14 @@
     (7, TType.I32, 'completed_calls', None, None, ),  # 7
     (8, TType.I32, 'failed_calls', None, None, ),  # 8
     (9, TType.BOOL, 'seems_cold', None, None, ),  # 9
+    (10, TType.I64, 'loan_id', None, None, ),  # 10
 )
 all_structs.append(LoanRequest)
 LoanRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'incarnation', None, None, ),  # 1
     (2, TType.LIST, 'demands', (TType.STRUCT, [LoanDemand, None], False), None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
 )
 all_structs.append(LoanGrant)
 LoanGrant.thrift_spec = (
@@ -2833,6 +2871,7 @@
     None,  # 0
     (1, TType.I64, 'incarnation', None, None, ),  # 1
     (2, TType.LIST, 'demands', (TType.STRUCT, [LoanDemand, None], False), None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
 )
 all_structs.append(ConfigurationOffer)
 ConfigurationOffer.thrift_spec = (
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -83,11 +83,13 @@
   7: optional i32 completed_calls,
   8: optional i32 failed_calls,
   9: optional bool seems_cold,
+  10: optional i64 loan_id,        // newest grant of this owner that the borrower uses
 }
 
 struct LoanRequest {
   1: required i64 incarnation,
   2: required list<LoanDemand> demands,
+  3: optional i64 sequence,        // rises with each message of an incarnation
 }
 
 struct LoanGrant {
@@ -107,6 +109,7 @@
 struct LoanReturn {
   1: required i64 incarnation,
   2: required list<LoanDemand> demands,
+  3: optional i64 sequence,
 }
 
 struct ConfigurationOffer { 1: required i64 version }
--- /dev/null
+++ b/egretshed/slots/alarm.py
@@ -0,0 +1,19 @@
+"""Waiting for an event or a time on the environment's clock, whichever is first."""
+
+import asyncio
+
+from egretshed.clock import Clock
+
+
+async def wait_within(clock: Clock, event: asyncio.Event, timeout_s: float) -> bool:
+    """Return whether `event` was set within `timeout_s`."""
+    if event.is_set():
+        return True
+    timer = asyncio.ensure_future(clock.sleep(timeout_s))
+    waiter = asyncio.ensure_future(event.wait())
+    try:
+        await asyncio.wait({timer, waiter}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        timer.cancel()
+        waiter.cancel()
+    return event.is_set()
--- /dev/null
+++ b/egretshed/slots/lending.py
@@ -0,0 +1,269 @@
+"""Owner side of slots: answers borrowers, follows load, revokes what is too much."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from egretshed.configuration.schema import (
+    Pool,
+    Replica,
+)
+from egretshed.environment import Environment
+from egretshed.errors import EgretshedError
+from egretshed.gen.messages.ttypes import (
+    LoanDemand,
+    LoanGrant,
+    LoanReply,
+    LoanRequest,
+    LoanReturn,
+)
+from egretshed.logs import log_event
+from egretshed.peers.network import (
+    PeerNetwork,
+    Sender,
+)
+from egretshed.slots.ledger import Grant
+from egretshed.slots.owned import (
+    OwnedState,
+    longest_call_s,
+)
+from egretshed.slots.records import (
+    BorrowerId,
+    OwnedReplica,
+)
+
+MAX_LOAD_AGE_MS = 2**31 - 1
+
+
+class Lender:
+    """Lends the slots of the replicas that this node owns.
+
+    `deliver` hands an unasked reply to this node's own borrower.
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        peers: PeerNetwork,
+        membership,
+        configuration,
+        backends,
+        deliver: Callable[[str, LoanReply], None],
+    ):
+        self.env = env
+        self.peers = peers
+        self.membership = membership
+        self.configuration = configuration
+        self.backends = backends
+        self.deliver = deliver
+        self._states: dict[str, OwnedState] = {}
+        self._polls: dict[str, asyncio.Task] = {}
+        self._ticked_s = env.clock.monotonic_s()
+        self._known_for = None
+        self._known: dict[str, tuple[str, Pool, Replica]] = {}
+        peers.handle(LoanRequest, self._on_request)
+        peers.handle(LoanReturn, self._on_return)
+
+    async def run(self) -> None:
+        """Refresh what is owned and poll loads until cancelled."""
+        period_s = self.env.settings.slots.renew_period_s / 2
+        try:
+            while True:
+                self.refresh()
+                await self.env.clock.sleep(period_s)
+        finally:
+            for task in self._polls.values():
+                task.cancel()
+
+    async def _on_request(self, sender: Sender, message: LoanRequest) -> LoanReply:
+        return self.answer(sender, message)
+
+    async def _on_return(self, sender: Sender, message: LoanReturn) -> None:
+        self.answer(sender, message)
+
+    def answer(self, sender: Sender, message: LoanRequest | LoanReturn) -> LoanReply:
+        """Apply a borrower's report and return its grants."""
+        self._check_pause()
+        borrower = BorrowerId(sender.node_id, message.incarnation)
+        lends = isinstance(message, LoanRequest)
+        replicas = self._replicas()
+        grants = []
+        for demand in message.demands:
+            known = replicas.get(demand.replica_id)
+            if known is None or not self._is_owner(known[2]):
+                grants.append(_not_owner(demand.replica_id))
+                continue
+            grant = self._answer_one(borrower, demand, message.sequence or 0, known)
+            if lends:
+                grants.append(grant)
+        return LoanReply(grants)
+
+    def refresh(self) -> None:
+        """Follow ownership, shares and limits; revoke and poll where due."""
+        self._check_pause()
+        now_s = self.env.clock.monotonic_s()
+        replicas = self._replicas()
+        for replica_id, (_, pool, replica) in replicas.items():
+            owned = self._is_owner(replica)
+            if not owned and replica_id not in self._states:
+                continue
+            state = self._observe(replica)
+            for borrower in state.ledger.forget_ended(now_s):
+                state.warmth.forget(borrower)
+            if owned:
+                self._revoke(state, pool)
+                self._poll_if_due(state, replica_id)
+            elif not state.ledger.loans:
+                del self._states[replica_id]
+        for replica_id in self._states.keys() - replicas.keys():
+            del self._states[replica_id]
+
+    def owner_of(self, replica_id: str) -> str | None:
+        """Return the node that owns a declared replica, as this node sees it."""
+        known = self._replicas().get(replica_id)
+        if known is None:
+            return None
+        return self.membership.owner_of(known[2], self._region(known[2]))
+
+    def owned(self) -> list[OwnedReplica]:
+        now_s = self.env.clock.monotonic_s()
+        longest_s = longest_call_s(self.configuration.current)
+        return [
+            self._states[replica_id].status(name, pool, replica, now_s, longest_s)
+            for replica_id, (name, pool, replica) in self._replicas().items()
+            if replica_id in self._states and self._is_owner(replica)
+        ]
+
+    def _answer_one(
+        self,
+        borrower: BorrowerId,
+        demand: LoanDemand,
+        sequence: int,
+        known: tuple[str, Pool, Replica],
+    ) -> LoanGrant:
+        _, pool, replica = known
+        now_s = self.env.clock.monotonic_s()
+        state = self._observe(replica)
+        if state.ledger.report(borrower, demand, sequence, now_s):
+            self._learn(state, borrower, demand, pool)
+        longest_s = longest_call_s(self.configuration.current)
+        grant = state.ledger.lend(
+            borrower,
+            state.amount(pool, now_s, longest_s),
+            state.foreign(pool, now_s, longest_s),
+            now_s,
+        )
+        return self._message(state, pool, grant)
+
+    def _learn(
+        self, state: OwnedState, borrower: BorrowerId, demand: LoanDemand, pool: Pool
+    ) -> None:
+        now_s = self.env.clock.monotonic_s()
+        if demand.seems_cold:
+            state.warmth.note_cold(now_s)
+            self._log_cold(demand.replica_id, borrower.node_id)
+            self._revoke(state, pool)
+        elif demand.completed_calls is not None:
+            state.warmth.note_completed(borrower, demand.completed_calls, pool, now_s)
+
+    def _log_cold(self, replica_id: str, source: str) -> None:
+        log_event(self.env.logger, "replica_cold", replica_id=replica_id, source=source)
+
+    def _message(self, state: OwnedState, pool: Pool, grant: Grant) -> LoanGrant:
+        age_s = self.env.clock.monotonic_s() - state.report_seen_s
+        duration_ms = int(self.env.settings.slots.loan_duration_s * 1000)
+        return LoanGrant(
+            replica_id=state.ledger.replica_id,
+            loan_id=grant.loan_id,
+            slots=grant.slots,
+            duration_ms=duration_ms,
+            limit_slots=state.warmth.limit(pool),
+            in_flight_calls=state.report.in_flight if state.report else 0,
+            warm=state.warmth.state == "warm",
+            load_age_ms=min(MAX_LOAD_AGE_MS, math.ceil(age_s * 1000)),
+        )
+
+    def _revoke(self, state: OwnedState, pool: Pool) -> None:
+        now_s = self.env.clock.monotonic_s()
+        if now_s < state.window.resumes_s:
+            return  # Earlier loans expire before this owner lends.
+        longest_s = longest_call_s(self.configuration.current)
+        amount = state.amount(pool, now_s, longest_s)
+        foreign = state.foreign(pool, now_s, longest_s) if amount else 0
+        for borrower, grant in state.ledger.revoke(amount, foreign, now_s):
+            reply = LoanReply([self._message(state, pool, grant)])
+            if borrower.node_id == self.env.identity.node_id:
+                self.deliver(borrower.node_id, reply)
+            else:
+                self.peers.send(borrower.node_id, reply)
+
+    def _observe(self, replica: Replica) -> OwnedState:
+        """Return the replica's state with its share as of now."""
+        now_s = self.env.clock.monotonic_s()
+        state = self._states.get(replica.replica_id)
+        if state is None:
+            state = OwnedState(self.env, replica.replica_id, now_s)
+            self._states[replica.replica_id] = state
+        share = None
+        if self.membership.is_settled() and self._is_owner(replica):
+            share = self.membership.lending_share(self._region(replica))
+        state.window.record(now_s, share)
+        state.may_get_work = self.configuration.current.is_in_service(
+            replica
+        ) and not self.membership.is_backend_leaving(replica.replica_id)
+        return state
+
+    def _check_pause(self) -> None:
+        """Stop lending after a pause: another node may have taken over meanwhile."""
+        now_s = self.env.clock.monotonic_s()
+        limit_s = self.env.settings.membership.pause_limit_s
+        if now_s - self._ticked_s > limit_s:
+            for state in self._states.values():
+                state.window.interrupt(now_s)
+        self._ticked_s = now_s
+
+    def _is_owner(self, replica: Replica) -> bool:
+        owner = self.membership.owner_of(replica, self._region(replica))
+        return owner == self.env.identity.node_id
+
+    def _region(self, replica: Replica) -> str:
+        domain = self.configuration.current.failure_domains.get(replica.failure_domain)
+        return domain.region if domain else ""
+
+    def _replicas(self) -> dict[str, tuple[str, Pool, Replica]]:
+        current = self.configuration.current
+        if self._known_for is not current:
+            self._known_for = current
+            self._known = {
+                replica.replica_id: (name, pool, replica)
+                for name, pool in current.pools.items()
+                for replica in pool.replicas
+            }
+        return self._known
+
+    def _poll_if_due(self, state: OwnedState, replica_id: str) -> None:
+        now_s = self.env.clock.monotonic_s()
+        period_s = self.env.settings.slots.load_report_period_s
+        if replica_id in self._polls or now_s - state.polled_s < period_s:
+            return
+        state.polled_s = now_s
+        task = asyncio.create_task(self._poll(state, replica_id))
+        self._polls[replica_id] = task
+        task.add_done_callback(lambda _: self._polls.pop(replica_id, None))
+
+    async def _poll(self, state: OwnedState, replica_id: str) -> None:
+        was = state.warmth.state
+        try:
+            report = await self.backends.get(replica_id).load()
+        except EgretshedError as error:
+            self.env.metrics.counter(
+                "slots_load_failures_total", "Failed load polls", ("replica", "error")
+            ).labels(replica_id, error.code).inc()
+            return
+        state.note_report(report, self.env.clock.monotonic_s())
+        if state.warmth.state == "cold" != was:
+            self._log_cold(replica_id, "load report")
+
+
+def _not_owner(replica_id: str) -> LoanGrant:
+    return LoanGrant(replica_id, 0, 0, 0, 0, 0, False, not_owner=True)
--- /dev/null
+++ b/egretshed/slots/owned.py
@@ -0,0 +1,87 @@
+"""All that an owner keeps of one replica."""
+
+from egretshed.backends.interface import LoadReport
+from egretshed.configuration.schema import (
+    Configuration,
+    Pool,
+    Replica,
+)
+from egretshed.environment import Environment
+from egretshed.slots.ledger import ReplicaLedger
+from egretshed.slots.records import OwnedReplica
+from egretshed.slots.share import ShareWindow
+from egretshed.slots.warmth import Warmth
+
+DEFAULT_LONGEST_CALL_S = 60.0
+
+
+def longest_call_s(configuration: Configuration) -> float:
+    """Return the longest that a call can last: the longest deadline of any kind."""
+    deadlines = [kind.deadline_s for kind in configuration.kinds.values()]
+    return max(deadlines, default=DEFAULT_LONGEST_CALL_S)
+
+
+class OwnedState:
+    """Ledger, warmth, share and load of one replica.
+
+    `foreign` counts calls that earlier owners lent and this one cannot attribute.
+    Until the longest such call has ended, it is the least in flight that the server
+    reported after the earlier loans expired; with no such report nothing is lent.
+    """
+
+    def __init__(self, env: Environment, replica_id: str, now_s: float):
+        self.ledger = ReplicaLedger(env, replica_id)
+        self.warmth = Warmth(now_s)
+        self.window = ShareWindow(now_s, env.settings.slots.take_over_wait_s)
+        self.report: LoadReport | None = None
+        self.report_seen_s = now_s
+        self.polled_s = -float("inf")
+        self.may_get_work = False
+        self._foreign: int | None = None
+        self._foreign_for_s = 0.0
+
+    def note_report(self, report: LoadReport, now_s: float) -> None:
+        self.report = report
+        self.report_seen_s = now_s - report.age_s
+        self.warmth.note_report(report, now_s)
+        if self._foreign_for_s != self.window.resumes_s:
+            self._foreign = None
+            self._foreign_for_s = self.window.resumes_s
+        if self.report_seen_s > self.window.resumes_s:
+            present = report.in_flight + report.queued
+            known = present if self._foreign is None else self._foreign
+            self._foreign = min(present, known)
+
+    def amount(self, pool: Pool, now_s: float, longest_s: float) -> int:
+        """Return the slots that may be lent now, foreign calls included."""
+        if not self.may_get_work or (self.report and self.report.leaving):
+            return 0
+        limit = self.warmth.limit(pool)
+        return self.window.lendable(limit, now_s, longest_s)
+
+    def foreign(self, pool: Pool, now_s: float, longest_s: float) -> int:
+        """Return the calls, in slots, that earlier owners may have left running."""
+        if now_s >= self.window.resumes_s + longest_s:
+            return 0
+        current = self._foreign_for_s == self.window.resumes_s
+        if not current or self._foreign is None:
+            return pool.warm_slots
+        return self._foreign
+
+    def status(
+        self, pool_name: str, pool: Pool, replica: Replica, now_s: float, longest_s
+    ) -> OwnedReplica:
+        return OwnedReplica(
+            replica_id=replica.replica_id,
+            pool=pool_name,
+            warmth=self.warmth.state.value,
+            limit=self.warmth.limit(pool),
+            lendable=self.amount(pool, now_s, longest_s),
+            committed=self.ledger.committed(now_s),
+            foreign=self.foreign(pool, now_s, longest_s),
+            in_flight=self.report.in_flight if self.report else 0,
+            borrowers={
+                borrower.node_id: loan.committed(now_s)
+                for borrower, loan in self.ledger.loans.items()
+            },
+        )
--- /dev/null
+++ b/egretshed/slots/tests/fuzz_slots.py
@@ -0,0 +1,226 @@
+"""Faults of every kind must not overload a server (P2).
+
+Guards against: two owners that lend the same slots, slots of dead, paused or restarted
+borrowers lent again too early, lost, late or doubled messages, and a limit that was
+lowered but not kept.
+"""
+
+import asyncio
+import sys
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+)
+
+from standins.clock import ManualClock
+from standins.fake_backends import FakeServer
+from standins.fake_membership import make_configuration
+from standins.fuzz_runs import run_fuzz
+from standins.peers import InMemoryNetwork
+from standins.slot_nodes import SlotNode
+
+IDS = ["n0", "n1", "n2", "n3"]
+COLD_SLOTS = 2
+WARM_SLOTS = 6
+WARM_UP_CALLS = 4
+LONGEST_S = 3.0
+# Take-over wait less loan duration: the time within which all views follow the network.
+DETECTION_S = 3.5
+# Report lag, poll period, tick and loan duration, with a margin for the margins.
+COLD_KNOWN_S = 0.2 + 0.5 + 0.25 + 2.0 + 0.1
+nodes = st.sampled_from(IDS)
+
+
+class CheckedServer(FakeServer):
+    """The oracle: counts calls started and not ended, and when it turned cold."""
+
+    completed = 0
+
+    def start(self, attempt_id):
+        super().start(attempt_id)
+        assert len(self.calls) <= WARM_SLOTS, f"{len(self.calls)} calls at once"
+        cold_s = self.clock.monotonic_s() - self.cold_since_s
+        if not self.warm and cold_s >= COLD_KNOWN_S:
+            assert len(self.calls) <= COLD_SLOTS, f"{len(self.calls)} calls while cold"
+
+    def end(self, attempt_id):
+        super().end(attempt_id)
+        self.completed += 1
+        if not self.warm and self.completed >= WARM_UP_CALLS:
+            self.set_warm(True)
+
+    def turn_cold(self):
+        self.completed = 0
+        self.set_warm(False)
+
+
+class SlotsMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.loop.run_until_complete(self.start())
+
+    async def start(self):
+        self.clock = ManualClock()
+        self.network = InMemoryNetwork(self.clock)
+        self.server = CheckedServer(self.clock)
+        configuration = make_configuration(
+            cold_slots=COLD_SLOTS,
+            warm_slots=WARM_SLOTS,
+            warm_up_calls=WARM_UP_CALLS,
+            deadline_s=LONGEST_S,
+        )
+        servers = {"p-0": self.server}
+        self.nodes = {
+            name: SlotNode(name, IDS, self.network, configuration, servers)
+            for name in IDS
+        }
+        self.calls = []
+        self.timers = []
+        self.groups_settled_s = 0.0
+        self.alone = set()
+        await self.clock.advance(7)
+
+    def run(self, seconds):
+        self.loop.run_until_complete(self.clock.advance(seconds))
+        for task in [*self.calls, *(node.task for node in self.nodes.values())]:
+            if task.done() and not task.cancelled() and task.exception():
+                raise task.exception()
+        self.calls = [task for task in self.calls if not task.done()]
+
+    def later(self, delay_s, change):
+        async def wait():
+            await self.clock.sleep(delay_s)
+            change()
+
+        self.timers.append(self.loop.create_task(wait()))
+
+    def is_settled(self):
+        return self.clock.monotonic_s() >= self.groups_settled_s and not self.alone
+
+    def set_groups(self, groups, delays):
+        """Cut the network; each node's view follows within the detection bound."""
+        self.groups_settled_s = self.clock.monotonic_s() + DETECTION_S + 0.01
+        for index, (name, node) in enumerate(self.nodes.items()):
+            heard = next(group for group in groups if name in group)
+            self.later(
+                delays[index],
+                lambda node=node, heard=heard: setattr(
+                    node.membership, "heard_ids", set(heard)
+                ),
+            )
+
+    delays = st.lists(st.floats(0, DETECTION_S), min_size=4, max_size=4)
+
+    @rule(name=nodes, count=st.integers(1, 8), duration_s=st.floats(0.05, LONGEST_S))
+    def calls_arrive(self, name, count, duration_s):
+        node = self.nodes[name]
+        if name in self.alone:
+            return
+        for _ in range(count):
+            attempt_id = f"{name}/{len(self.timers)}/{self.clock.monotonic_s()}"
+            attempt_id += f"/{len(self.calls)}"
+            call = node.call(attempt_id, duration_s, longest_s=LONGEST_S)
+            self.calls.append(self.loop.create_task(call))
+
+    @rule(seconds=st.floats(0.01, 4.0))
+    def time_passes(self, seconds):
+        self.run(seconds)
+
+    @precondition(is_settled)
+    @rule(left=st.sets(nodes, min_size=1, max_size=3), delays=delays)
+    def network_splits(self, left, delays):
+        right = set(IDS) - left
+        self.network.heal()
+        self.network.cut_between(left, right)
+        self.set_groups([left, right], delays)
+
+    @precondition(is_settled)
+    @rule(delays=delays)
+    def network_heals(self, delays):
+        self.network.heal()
+        self.set_groups([set(IDS)], delays)
+
+    @precondition(is_settled)
+    @rule(
+        name=nodes,
+        pause_s=st.floats(0.1, 12.0),
+        delays=delays,
+        noticed_s=st.floats(0, 0.1),
+        settled_s=st.floats(0.2, DETECTION_S),
+    )
+    def node_pauses(self, name, pause_s, delays, noticed_s, settled_s):
+        """The others drop the node if the pause is long; it notices on resuming."""
+        node = self.nodes[name]
+        if node.membership.heard_ids != set(IDS):
+            return
+        self.alone.add(name)
+        node.pause()
+        if pause_s > DETECTION_S:
+            self.set_groups([set(IDS) - {name}, set(IDS)], delays)
+            node.membership.heard_ids = set(IDS)
+        self.later(pause_s, lambda: self.resume(node, delays, noticed_s, settled_s))
+
+    def resume(self, node, delays, noticed_s, settled_s):
+        def notice():
+            node.membership.settled = False
+
+        def settle():
+            node.membership.settled = True
+
+        node.resume()
+        self.later(noticed_s, notice)
+        self.later(settled_s, settle)
+        self.set_groups([set(IDS)], delays)
+        self.alone.discard(node.node_id)
+
+    @precondition(is_settled)
+    @rule(name=nodes, settled_s=st.floats(0.1, DETECTION_S))
+    def node_restarts(self, name, settled_s):
+        node = self.nodes[name]
+        node.membership.settled = False
+        self.loop.run_until_complete(self.restart(node))
+        self.later(settled_s, lambda: setattr(node.membership, "settled", True))
+
+    async def restart(self, node):
+        node.restart()
+
+    @rule(source=nodes, target=nodes, for_s=st.floats(0.1, 3.0))
+    def messages_are_lost(self, source, target, for_s):
+        pair = (source, target)
+        if pair not in self.network.cut:
+            self.network.cut.add(pair)
+            self.later(for_s, lambda: self.network.cut.discard(pair))
+
+    @rule(source=nodes, target=nodes, delay_s=st.floats(0, 0.9))
+    def messages_are_slow(self, source, target, delay_s):
+        self.network.delay_s[source, target] = delay_s
+
+    @rule(source=nodes, target=nodes)
+    def messages_are_doubled(self, source, target):
+        self.network.duplicate ^= {(source, target)}
+
+    @precondition(lambda self: self.server.warm)
+    @rule()
+    def server_turns_cold(self):
+        self.server.turn_cold()
+
+    @rule(reachable=st.booleans())
+    def server_load_is_readable(self, reachable):
+        # A cold server is known by its reports here, so they must not stop then.
+        self.server.reachable = reachable or not self.server.warm
+
+    def teardown(self):
+        tasks = [*self.calls, *self.timers, *(n.task for n in self.nodes.values())]
+        for task in asyncio.all_tasks(self.loop) | set(tasks):
+            task.cancel()
+        gathered = asyncio.gather(*tasks, return_exceptions=True)
+        self.loop.run_until_complete(gathered)
+        self.loop.close()
+
+
+if __name__ == "__main__":
+    sys.exit(run_fuzz(SlotsMachine, examples=30, steps=25))
--- /dev/null
+++ b/standins/fake_membership.py
@@ -0,0 +1,92 @@
+"""Fakes of membership and configuration with the signatures of the design page."""
+
+import hashlib
+from typing import NamedTuple
+
+from egretshed.configuration.check import build_configuration
+from egretshed.configuration.schema import (
+    Configuration,
+    Replica,
+)
+
+
+class FakeShare(NamedTuple):
+    heard: int
+    listed: int
+    rounds_up: bool
+
+
+class FakeMembership:
+    """One node's view, set by the test; the owner is the highest rendezvous hash."""
+
+    def __init__(self, node_id: str, listed: list[str]):
+        self.node_id = node_id
+        self.listed_ids = sorted(listed)
+        self.heard_ids = set(listed)
+        self.settled = True
+        self.leaving: set[str] = set()
+        self._owners: dict[tuple[str, frozenset[str]], str] = {}
+
+    def is_settled(self) -> bool:
+        return self.settled
+
+    def owner_of(self, replica: Replica, region: str) -> str | None:
+        key = (replica.replica_id, frozenset(self.heard_ids))
+        if key not in self._owners:
+            self._owners[key] = max(
+                key[1],
+                key=lambda node: hashlib.sha256(f"{node}/{key[0]}".encode()).digest(),
+            )
+        return self._owners[key]
+
+    def lending_share(self, region: str) -> FakeShare:
+        heard, listed = len(self.heard_ids), len(self.listed_ids)
+        has_first = self.listed_ids[0] in self.heard_ids
+        rounds_up = 2 * heard > listed or (2 * heard == listed and has_first)
+        return FakeShare(heard, listed, rounds_up)
+
+    def is_backend_leaving(self, replica_id: str) -> bool:
+        return replica_id in self.leaving
+
+
+class FakeConfiguration:
+    def __init__(self, current: Configuration):
+        self.current = current
+        self.fresh = True
+
+    def is_fresh(self) -> bool:
+        return self.fresh
+
+
+def make_configuration(
+    replicas: int = 1,
+    cold_slots: int = 2,
+    warm_slots: int = 6,
+    warm_up_calls: int = 4,
+    deadline_s: float = 3.0,
+    role: str = "engine",
+    domains: tuple[str, ...] = ("a",),
+) -> Configuration:
+    """Return pool ``p`` with replicas ``p-0``, ``p-1``, ... spread over `domains`."""
+    pool = {
+        "role": role,
+        "cold_slots": cold_slots,
+        "warm_slots": warm_slots,
+        "warm_up_calls": warm_up_calls,
+        "replicas": [
+            {
+                "replica_id": f"p-{index}",
+                "url": "http://127.0.0.1:1",
+                "failure_domain": domains[index % len(domains)],
+            }
+            for index in range(replicas)
+        ],
+    }
+    objects = {f"failure_domains/{name}": {"region": "r"} for name in domains}
+    objects["pools/p"] = pool
+    objects["kinds/k"] = {"deadline_s": deadline_s, "service": "p"}
+    return build_configuration(1, objects).default_with(_raise)
+
+
+def _raise(error: Exception):
+    raise error
