Wire retries, routing and claims into the request runner

Cause: the slices' final signatures differ from the first sketch. Change: the runner asks retries for the step after a failed attempt and stores the outcome of claimed requests; the node runs the router's and admission's tasks.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -29,7 +29,6 @@
     ManagedProcess,
     free_ports,
 )
-from bench.seeding import write_first_configuration
 from egretshed.clock import SystemClock
 from egretshed.platform.interface import ListedVm
 from standins.deployment import (
@@ -37,6 +36,7 @@
     with_urls,
 )
 from standins.http_server import LOOPBACK
+from standins.seeding import write_first_configuration
 
 DAEMON = "from egretshed.daemon.main import main; main()"
 START_LIMIT_S = 20.0
--- a/egretshed/callers/handlers.py
+++ b/egretshed/callers/handlers.py
@@ -28,10 +28,10 @@
 from egretshed.configuration.service import ConfigurationService
 from egretshed.environment import Environment
 from egretshed.errors import (
+    ClaimsUnavailable,
     EgretshedError,
     InvalidRequest,
     NotFound,
-    PlatformUnavailable,
 )
 from egretshed.logs import log_event
 from egretshed.membership.service import MembershipService
@@ -208,10 +208,11 @@
         return outcome
     try:
         stored = await services.claims.outcome(customer_id, request_id)
-    except PlatformUnavailable:
+    except ClaimsUnavailable:
         stored = None
-    if stored is not None:
-        return stored.to_body()
+    if stored is not None and stored.state != "issued_elsewhere":
+        running = {"outcome": stored.state, "request_id": request_id}
+        return stored.outcome or running
     own = services.env.identity.node_id
     others = [m.node_id for m in services.membership.heard() if m.node_id != own]
     return await services.streams.outcome(customer_id, request_id, others)
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -109,7 +109,7 @@
         )
         self.stage_times = StageTimes(env)
         self.admission = AdmissionQueue(env, self.configuration, self.stage_times)
-        self.claims = ClaimService(env, self.platform, self.membership.is_alive)
+        self.claims = ClaimService(env, self.platform, self._is_alive)
         self.runner = RequestRunner(env, self._runner_services())
         self.streams = StreamPeers(env, self.peers, self.runner)
         self.plans = PlanService(
@@ -165,6 +165,13 @@
             log_function=lambda handler: None,
         )
 
+    def _is_alive(self, node_id: str, incarnation: int) -> bool:
+        """Return whether another process is heard under this incarnation."""
+        member = self.membership.member(node_id)
+        return (
+            member is not None and member.is_heard and member.incarnation == incarnation
+        )
+
     def is_ready(self) -> bool:
         return not self._draining and self.configuration.is_fresh()
 
@@ -178,6 +185,8 @@
         for name, slice_ in (
             ("configuration", self.configuration),
             ("slots", self.slots),
+            ("router", self.router),
+            ("admission", self.admission),
             ("claims", self.claims),
             ("runner", self.runner),
             ("plans", self.plans),
@@ -214,7 +223,7 @@
         self._server.stop()
         cut = await self.runner.drain(settings.shutdown.limit_s)
         await self.slots.hand_back()
-        await self.claims.flush()
+        await self.claims.flush(settings.shutdown.limit_s)
         await self.close()
         log_event(self.env.logger, "node_stopped", requests_cut=cut)
         return cut
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -11,25 +11,21 @@
     NamedTuple,
 )
 
-from egretshed.admission.queue import (
-    AdmissionQueue,
-    AdmissionRequest,
-)
+from egretshed.admission.entries import AdmissionRequest
+from egretshed.admission.queue import AdmissionQueue
 from egretshed.backends.directory import BackendDirectory
 from egretshed.backends.interface import (
     BackendCall,
     BackendResult,
     TokenEvent,
 )
-from egretshed.claims.errors import AlreadyClaimed
-from egretshed.claims.service import (
-    Claim,
-    ClaimService,
-)
+from egretshed.claims.records import Claim
+from egretshed.claims.service import ClaimService
 from egretshed.configuration.schema import Stage
 from egretshed.configuration.service import ConfigurationService
 from egretshed.environment import Environment
 from egretshed.errors import (
+    AlreadyClaimed,
     BackendError,
     DeadlineExceeded,
     EgretshedError,
@@ -55,13 +51,22 @@
 from egretshed.requests.stream import RequestStream
 from egretshed.requests.submission import Submission
 from egretshed.retries.budgets import RetryBudgets
-from egretshed.retries.deadlines import divide_deadline
-from egretshed.retries.stage_times import StageTimes
-from egretshed.routing.router import (
-    Router,
+from egretshed.retries.decision import (
+    FailedAttempt,
+    GiveUp,
+    Retry,
+    decide_retry,
+    may_have_run,
+)
+from egretshed.retries.stage_times import (
+    StageTimes,
+    divide_deadline,
+)
+from egretshed.routing.records import (
     RoutingDecision,
     StageCall,
 )
+from egretshed.routing.router import Router
 
 STORE_EXPIRY_PERIOD_S = 1.0
 
@@ -179,14 +184,14 @@
         finally:
             self._runs.pop(stream.stream_id, None)
         self._finish(run, outcome)
+        if run.claim is not None:
+            await self.services.claims.store_outcome(run.claim, outcome)
 
     def _finish(self, run: _Run, outcome: dict[str, Any]) -> None:
         stream = run.stream
         stream.finish(outcome)
         if outcome["outcome"] == "not_run":
             self.store.forget(stream)
-        if run.claim is not None:
-            self.services.claims.record_outcome(run.claim, outcome)
         self._record(run, outcome)
 
     def _record(self, run: _Run, outcome: dict[str, Any]) -> None:
@@ -280,48 +285,84 @@
     async def _run_stage(
         self, run: _Run, stage: Stage, state: PipelineState, form: type, share_s: float
     ) -> BackendResult:
-        """Try the stage until it completes or no further attempt is allowed."""
-        budgets = self.services.budgets
-        customer_id = run.submission.customer_id
-        budgets.note_call(customer_id, stage.name)
-        excluded: frozenset[str] = frozenset()
-        avoided: frozenset[str] = frozenset()
-        for attempt in range(1, self.env.settings.retries.max_attempts + 1):
-            decision = await self._choose(run, stage, state, share_s, excluded, avoided)
+        """Try the stage until it completes or no further attempt is allowed.
+
+        `share_s` is the part of the deadline that this stage should take.
+        """
+        self.services.budgets.note_call(run.submission.customer_id, stage.name)
+        away = Retry(frozenset(), frozenset())
+        may_have_run_before = False
+        for attempt in itertools.count(1):
+            decision = await self._choose(run, stage, state, share_s, away)
+            sent_before = run.stream.sent_to_backend
             try:
                 return await self._attempt(run, stage, state, form, decision)
             except BackendError as error:
-                if not self._may_retry(run, stage, error, attempt):
-                    raise self._final_error(run, stage, error) from error
-                replica = self.services.backends.replica(decision.replica_id)
-                excluded |= {decision.replica_id}
-                avoided |= {replica.failure_domain}
+                failed = self._failed_attempt(run, stage, decision, error, attempt)
+                failed = failed._replace(
+                    sent_before=sent_before,
+                    may_have_run_before=may_have_run_before,
+                    excluded_replicas=away.excluded_replicas,
+                    excluded_domains=away.excluded_domains,
+                )
+                away = self._retry_or_raise(failed)
+                may_have_run_before |= may_have_run(error)
         raise RequestFailed("no attempt left", reason="attempts", stage=stage.name)
 
+    def _failed_attempt(
+        self, run: _Run, stage: Stage, decision: RoutingDecision, error, attempt: int
+    ) -> FailedAttempt:
+        return FailedAttempt(
+            error=error,
+            customer_id=run.submission.customer_id,
+            stage=stage.name,
+            replica_id=decision.replica.replica_id,
+            failure_domain=decision.replica.failure_domain,
+            repeatable=run.submission.kind.repeatable,
+            attempts=attempt,
+            # Tokens that were delivered are taken back by a reset item.
+            delivered_tokens=0,
+            remaining_s=run.end_s - self.env.clock.monotonic_s(),
+            expected_s=self.services.stage_times.estimate_s(stage.pool),
+        )
+
+    def _retry_or_raise(self, failed: FailedAttempt) -> Retry:
+        decision = decide_retry(
+            failed, self.services.budgets, self.env.settings.retries.max_attempts
+        )
+        log_event(
+            self.env.logger,
+            "attempt_failed",
+            stage=failed.stage,
+            replica_id=failed.replica_id,
+            error=failed.error.code,
+            attempt=failed.attempts,
+            retried=isinstance(decision, Retry),
+        )
+        if isinstance(decision, GiveUp):
+            raise decision.failure from failed.error
+        return decision
+
     async def _choose(
-        self, run, stage, state, share_s, excluded, avoided
+        self, run: _Run, stage: Stage, state: PipelineState, share_s: float, away: Retry
     ) -> RoutingDecision:
-        remaining_s = run.end_s - self.env.clock.monotonic_s()
+        remaining_s = max(run.end_s - self.env.clock.monotonic_s(), 0.0)
         call = StageCall(
             request_id=run.submission.request_id,
             attempt_id=self._next_attempt_id(),
             customer_id=run.submission.customer_id,
             stage=stage.name,
             pool=stage.pool,
-            priority=run.submission.priority,
             remaining_s=remaining_s,
             prefix=cache_prefix(state),
-            excluded_replicas=excluded,
-            avoided_failure_domains=avoided,
+            excluded_replicas=away.excluded_replicas,
+            excluded_domains=away.excluded_domains,
         )
         try:
-            return await self.services.router.choose_within(call, max(remaining_s, 0))
+            return await self.services.router.choose_within(call, remaining_s)
         except NoReplicaAvailable as error:
-            if not run.stream.sent_to_backend:
-                raise NotRun(
-                    f"no replica of {stage.pool} is available", reason="no_replica"
-                ) from error
-            raise RequestFailed(
+            kind = RequestFailed if run.stream.sent_to_backend else NotRun
+            raise kind(
                 f"no replica of {stage.pool} is available",
                 reason="no_replica",
                 stage=stage.name,
@@ -361,7 +402,7 @@
     ) -> BackendResult:
         configuration = self.services.configuration.current
         pool = configuration.pools[stage.pool]
-        attempt_id = decision.attempt_id
+        attempt_id = decision.call.attempt_id
         call = BackendCall(
             attempt_id=attempt_id,
             request_id=run.submission.request_id,
@@ -377,7 +418,7 @@
             run.stream.reset()
         run.attempt_id = attempt_id
         run.stream.sent_to_backend = True
-        backend = self.services.backends.get(decision.replica_id)
+        backend = self.services.backends.get(decision.replica.replica_id)
 
         def on_tokens(event: TokenEvent) -> None:
             self._on_tokens(run, attempt_id, event)
@@ -400,25 +441,9 @@
             return
         run.stream.append_tokens(event.tokens)
 
-    def _may_retry(
-        self, run: _Run, stage: Stage, error: BackendError, attempt: int
-    ) -> bool:
-        if attempt >= self.env.settings.retries.max_attempts:
-            return False
-        if error.may_have_run and not run.submission.kind.repeatable:
-            return False
-        return self.services.budgets.allow_retry(run.submission.customer_id, stage.name)
-
-    def _final_error(
-        self, run: _Run, stage: Stage, error: BackendError
-    ) -> EgretshedError:
-        if error.may_have_run and not run.submission.kind.repeatable:
-            return OutcomeUnknown(str(error), reason=error.code, stage=stage.name)
-        return RequestFailed(str(error), reason=error.code, stage=stage.name)
-
     def _cancel_at_backend(self, decision: RoutingDecision) -> None:
-        backend = self.services.backends.get(decision.replica_id)
-        task = asyncio.create_task(backend.cancel(decision.attempt_id))
+        backend = self.services.backends.get(decision.replica.replica_id)
+        task = asyncio.create_task(backend.cancel(decision.call.attempt_id))
         task.add_done_callback(lambda t: t.cancelled() or t.exception())
 
     def _next_attempt_id(self) -> str:
