Run the callers' tests on quick membership and slot settings

Cause: a node lends nothing until membership has settled and the take-over wait is over, about 10 s with the defaults. Change: settings for in-process systems; a node waits for its tasks when it closes.

--- a/egretshed/callers/tests/malformed.feature
+++ b/egretshed/callers/tests/malformed.feature
@@ -4,7 +4,7 @@
     Given a running node with the example deployment "laurentien"
 
   Scenario Outline: <fault>
-    When a caller submits <raw>
+    When a caller sends the body <raw>
     Then it gets status <status> and the error "<error>"
     And no backend server received a call
     And the node serves a valid request
--- a/egretshed/callers/tests/steps/caller_steps.py
+++ b/egretshed/callers/tests/steps/caller_steps.py
@@ -69,7 +69,7 @@
     return {"Authorization": f"Bearer {context.system.customer_keys[customer]}"}
 
 
-@when("a caller submits {raw}")
+@when("a caller sends the body {raw}")
 def submit_raw(context, raw):
     context.response = submit(context, raw_body(raw), key_header(context))
 
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -232,6 +232,7 @@
         """End all tasks and connections at once, without leaving gracefully."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         self._server.stop()
         await self._server.close_all_connections()
         self.peers.stop()
--- a/standins/system.py
+++ b/standins/system.py
@@ -19,6 +19,7 @@
 from egretshed.daemon.node import Node
 from egretshed.platform.interface import ListedVm
 from egretshed.settings.load import check_settings
+from egretshed.settings.schema import Settings
 from standins.deployment import (
     backend_specs,
     load_objects,
@@ -30,6 +31,20 @@
 
 PEER_KEY = "system-test-peer-key"
 MAX_CLIENTS = 500
+FAST_MEMBERSHIP = {
+    "probe_period_s": 0.05,
+    "probe_timeout_s": 0.04,
+    "suspicion_s": 0.2,
+    "vm_list_period_s": 0.1,
+    "address_keep_s": 0.2,
+}
+# A single process has no earlier owner whose loans have to expire.
+FAST_SLOTS = {
+    "loan_duration_s": 0.5,
+    "renew_period_s": 0.1,
+    "take_over_wait_s": 0.51,
+    "load_report_period_s": 0.1,
+}
 
 
 class System:
@@ -55,7 +70,7 @@
             region = objects[domains[index % len(domains)]]["region"]
             self.nodes.append(Node(self._settings(index, domain, region)))
         self.publish_vms()
-        await write_first_configuration(self._settings(0, "x", "x"), objects)
+        await write_first_configuration(self._raw_settings(0, "x", "x"), objects)
         for node in self.nodes:
             await node.start()
         return self
@@ -80,16 +95,20 @@
             for i in (node.env.identity for node in self.nodes)
         ]
 
-    def _settings(self, index: int, domain: str, region: str):
+    def _raw_settings(self, index: int, domain: str, region: str) -> dict[str, Any]:
         node_id = f"entry-{index + 1}"
-        raw = {
+        return {
             "node": {"node_id": node_id, "failure_domain": domain, "region": region},
             "platform": {"url": self.host.platform.url},
             "peers": {"keys": [PEER_KEY]},
             "log_level": "ERROR",
+            "membership": FAST_MEMBERSHIP,
+            "slots": FAST_SLOTS,
             **self.sections,
         }
-        checked = check_settings(raw)
+
+    def _settings(self, index: int, domain: str, region: str) -> Settings:
+        checked = check_settings(self._raw_settings(index, domain, region))
         if checked.is_error():
             raise checked.error
         return checked.ok
