Test the stand-ins through the adapters, and the promise check

Cause: a stand-in that reads a failure differently from its adapter, or a check that cannot fail, would hide faults of the system. Conclusion: both run with the other suites.

--- a/standins/run_tests.py
+++ b/standins/run_tests.py
@@ -30,7 +30,8 @@
 
 def find_suites(only: str, slice_name: str) -> list[Suite]:
     suites = []
-    for folder in sorted((ROOT / "egretshed").glob("*/tests")):
+    folders = sorted((ROOT / "egretshed").glob("*/tests"))
+    for folder in (*folders, ROOT / "standins" / "tests", ROOT / "bench" / "tests"):
         name = folder.parent.name
         if slice_name not in ("all", name):
             continue
