Add slot scenarios; do not lend on a returned loan

Cause: handing back made the owner record a new grant, so the slots stayed reserved. Change: only a LoanRequest lends; a LoanReturn wants nothing; slots.feature. Conclusion: handed back slots are free at once.

--- a/egretshed/slots/lending.py
+++ b/egretshed/slots/lending.py
@@ -85,17 +85,17 @@
         """Apply a borrower's report and return its grants."""
         self._check_pause()
         borrower = BorrowerId(sender.node_id, message.incarnation)
-        lends = isinstance(message, LoanRequest)
-        replicas = self._replicas()
         grants = []
         for demand in message.demands:
-            known = replicas.get(demand.replica_id)
+            known = self._replicas().get(demand.replica_id)
             if known is None or not self._is_owner(known[2]):
                 grants.append(_not_owner(demand.replica_id))
                 continue
-            grant = self._answer_one(borrower, demand, message.sequence or 0, known)
-            if lends:
-                grants.append(grant)
+            _, pool, replica = known
+            state = self._observe(replica)
+            self._report(state, borrower, demand, message.sequence or 0, pool)
+            if isinstance(message, LoanRequest):
+                grants.append(self._lend(state, borrower, pool))
         return LoanReply(grants)
 
     def refresh(self) -> None:
@@ -134,18 +134,20 @@
             if replica_id in self._states and self._is_owner(replica)
         ]
 
-    def _answer_one(
+    def _report(
         self,
+        state: OwnedState,
         borrower: BorrowerId,
         demand: LoanDemand,
         sequence: int,
-        known: tuple[str, Pool, Replica],
-    ) -> LoanGrant:
-        _, pool, replica = known
+        pool: Pool,
+    ) -> None:
         now_s = self.env.clock.monotonic_s()
-        state = self._observe(replica)
         if state.ledger.report(borrower, demand, sequence, now_s):
             self._learn(state, borrower, demand, pool)
+
+    def _lend(self, state: OwnedState, borrower: BorrowerId, pool: Pool) -> LoanGrant:
+        now_s = self.env.clock.monotonic_s()
         longest_s = longest_call_s(self.configuration.current)
         grant = state.ledger.lend(
             borrower,
--- a/egretshed/slots/renewal.py
+++ b/egretshed/slots/renewal.py
@@ -66,6 +66,8 @@
         own = self.env.identity
         for owner, states in self._by_owner().items():
             message = self._message(LoanReturn, owner, states)
+            for demand in message.demands:
+                demand.wanted_slots = 0
             if owner == own.node_id:
                 self.lender.answer(Sender(own.node_id, own.incarnation), message)
                 continue
--- /dev/null
+++ b/egretshed/slots/tests/slots.feature
@@ -0,0 +1,120 @@
+Feature: Slots are lent within what a server can carry
+
+  Scenario Outline: Division guards against <failure>
+    When <slots> slots are divided among "<wanted>" at turn <turn>
+    Then the parts are "<parts>"
+
+    Examples:
+      | failure                           | slots | wanted      | turn | parts       |
+      | a large borrower taking all       | 6     | a=9 b=9 c=1 | 0    | a=3 b=2 c=1 |
+      | slots left unused                 | 6     | a=1 b=9     | 0    | a=1 b=5     |
+      | more than is wanted               | 9     | a=1 b=2     | 0    | a=1 b=2     |
+      | one borrower always coming first  | 1     | a=1 b=1     | 1    | a=0 b=1     |
+      | a share of slots that do not exist | -2   | a=1 b=1     | 0    | a=0 b=0     |
+
+  Scenario Outline: Scaling guards against <failure>
+    When an owner hears <heard> of <listed> nodes, rounding up: <up>
+    Then it lends <amount> of a limit of <limit>
+
+    Examples:
+      | failure                              | heard | listed | up  | limit | amount |
+      | a partition lending the whole limit  | 4     | 7      | yes | 2     | 2      |
+      | the other side lending as well       | 3     | 7      | no  | 2     | 0      |
+      | both halves rounding up              | 2     | 4      | no  | 3     | 1      |
+      | a slot lost with all nodes heard     | 7     | 7      | yes | 2     | 2      |
+      | a stale list giving more than all    | 9     | 7      | yes | 2     | 2      |
+      | lending without any VM list          | 3     | 0      | yes | 2     | 0      |
+
+  Scenario Outline: A raise of the share guards against <failure>
+    Given an owner with a take-over wait of 6 s and a longest call of 3 s
+    When its share is <first> then <second> after 20 s
+    Then it lends <amount> of 6 after <later> more seconds
+
+    Examples:
+      | failure                                | first | second | later | amount |
+      | two owners lending at once             | 0/4   | 4/4    | 5.9   | 0      |
+      | a take-over that never ends            | 0/4   | 4/4    | 6.1   | 6      |
+      | lending what the other side still runs | 2/4   | 4/4    | 8.9   | 3      |
+      | a healed partition kept small          | 2/4   | 4/4    | 9.1   | 6      |
+      | a lowered share applied late           | 4/4   | 2/4    | 0     | 3      |
+
+  Scenario Outline: Warmth guards against <failure>
+    Given a server with limits 2 to 6 and 4 warm-up calls
+    When its owner sees "<signs>"
+    Then the limit is <limit>
+
+    Examples:
+      | failure                                 | signs                                     | limit |
+      | full load on an unknown server          |                                           | 2     |
+      | a slow start after a change of owner    | warm                                      | 6     |
+      | load after a sign of coldness           | warm cold_sign                            | 2     |
+      | an old report hiding a cold start       | warm cold_sign old_warm                   | 2     |
+      | full load right after a cold start      | warm cold_sign warm                       | 2     |
+      | a limit that never rises                | warm cold_sign warm calls=1 calls=3       | 4     |
+      | calls counted from before the sign      | warm calls=9 cold_sign warm calls=99      | 2     |
+      | doubled counts of calls                 | warm cold_sign warm calls=1 calls=3 calls=3 | 4   |
+      | an old cold report after warming        | warm old_cold                             | 6     |
+      | a server that turns cold by itself      | warm cold                                 | 2     |
+      | warming while the server says cold      | cold calls=1 calls=9                      | 2     |
+
+  Scenario: A dead borrower's slots are not lent while its calls may run
+    Guards against lending slots of calls that outlive their borrower.
+    Given 3 nodes that share a warm server
+    When another node than the owner runs 6 calls of 3 s and dies
+    And 2 s pass
+    Then the owner counts 6 slots as committed
+    When 4 s pass
+    Then the owner counts 0 slots as committed
+
+  Scenario: A cold sign revokes loans at once
+    Guards against a borrower that goes on until its loan expires.
+    Given 3 nodes that share a warm server
+    When another node than the owner runs 4 calls of 1 s
+    And a call that seems cold ends at the owner
+    Then the other node has no free slot
+    When 2 s pass
+    Then the owner's limit is 2
+
+  Scenario: Handing back frees slots without waiting for expiry
+    Guards against idle slots after each planned stop.
+    Given 3 nodes that share a warm server
+    When another node than the owner runs 2 calls of 0.1 s
+    And 0.2 s pass
+    And it hands its loans back
+    Then the owner counts 0 slots as committed
+    And the other node has no free slot
+
+  Scenario: The owner borrows from itself without a message
+    Guards against a node that depends on the network to use its own replicas.
+    Given 3 nodes that share a warm server
+    When the owner runs 2 calls of 0.5 s
+    Then no message was sent
+
+  Scenario Outline: <failure> stops new work on the server
+    Guards against P3 and P7: new work on a server that is to get none.
+    Given 3 nodes that share a warm server
+    When another node than the owner runs 2 calls of 0.1 s
+    And <failure>
+    And 1 s pass
+    Then the other node has no free slot
+    And a new call of the other node gets no slot
+
+    Examples:
+      | failure                                     |
+      | its failure domain is taken out             |
+      | the server is draining                      |
+      | the VM list says that the server leaves     |
+      | the load report says that the server leaves |
+      | membership is unsettled                     |
+
+  Scenario: A call longer than the loan allows waits for a loan that does
+    Guards against calls that outlive the time for which the owner reserves slots.
+    Given 3 nodes that share a warm server
+    When another node than the owner asks for a call of up to 20 s
+    Then it is refused at first and gets a slot within 1 s
+
+  Scenario: One busy borrower does not keep the others out
+    Guards against starvation on a cold server with fewer slots than borrowers.
+    Given 3 nodes that share a cold server
+    When all nodes offer calls of 0.3 s for 20 s
+    Then each node completed at least 10 calls
--- /dev/null
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -0,0 +1,319 @@
+import asyncio
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.backends.interface import LoadReport
+from egretshed.slots.division import divide
+from egretshed.slots.records import (
+    BorrowerId,
+    CallObservation,
+)
+from egretshed.slots.share import (
+    ShareWindow,
+    scaled,
+)
+from egretshed.slots.warmth import Warmth
+from standins.clock import ManualClock
+from standins.fake_backends import FakeServer
+from standins.fake_membership import (
+    FakeShare,
+    make_configuration,
+)
+from standins.peers import InMemoryNetwork
+from standins.slot_nodes import SlotNode
+
+
+def parse_counts(text):
+    pairs = (item.split("=") for item in text.split())
+    return {name: int(count) for name, count in pairs}
+
+
+@when('{slots:d} slots are divided among "{wanted}" at turn {turn:d}')
+def divided(context, slots, wanted, turn):
+    context.parts = divide(slots, parse_counts(wanted), turn)
+
+
+@then('the parts are "{parts}"')
+def parts_are(context, parts):
+    assert context.parts == parse_counts(parts), context.parts
+
+
+@when("an owner hears {heard:d} of {listed:d} nodes, rounding up: {up}")
+def hears(context, heard, listed, up):
+    context.share = FakeShare(heard, listed, up == "yes")
+
+
+@then("it lends {amount:d} of a limit of {limit:d}")
+def lends(context, amount, limit):
+    assert scaled(limit, context.share) == amount, scaled(limit, context.share)
+
+
+@given("an owner with a take-over wait of {wait_s:d} s and a longest call of {s:d} s")
+def owner_window(context, wait_s, s):
+    context.window = ShareWindow(0.0, wait_s)
+    context.longest_s = s
+
+
+@when("its share is {first} then {second} after {seconds:d} s")
+def share_changes(context, first, second, seconds):
+    for now_s, text in ((0.0, first), (seconds, first), (seconds, second)):
+        heard, listed = map(int, text.split("/"))
+        share = FakeShare(heard, listed, True) if heard else None
+        context.window.record(now_s, share)
+    context.now_s = seconds
+
+
+@then("it lends {amount:d} of {limit:d} after {later:g} more seconds")
+def lends_later(context, amount, limit, later):
+    now_s = context.now_s + later
+    lent = context.window.lendable(limit, now_s, context.longest_s)
+    assert lent == amount, lent
+
+
+@given("a server with limits {cold:d} to {warm:d} and {calls:d} warm-up calls")
+def server_limits(context, cold, warm, calls):
+    configuration = make_configuration(
+        cold_slots=cold, warm_slots=warm, warm_up_calls=calls
+    )
+    context.pool = configuration.pools["p"]
+    context.warmth = Warmth(0.0)
+
+
+@when('its owner sees "{signs}"')
+def sees(context, signs):
+    for now_s, sign in enumerate(signs.split(), start=1):
+        see(context, sign, float(now_s))
+
+
+@when('its owner sees ""')
+def sees_nothing(context):
+    pass
+
+
+def see(context, sign, now_s):
+    if sign == "cold_sign":
+        context.warmth.note_cold(now_s)
+    elif sign.startswith("calls="):
+        borrower = BorrowerId("n0", 1)
+        total = int(sign.removeprefix("calls="))
+        context.warmth.note_completed(borrower, total, context.pool, now_s)
+    else:
+        age_s = 5.0 if sign.startswith("old_") else 0.1
+        report = LoadReport(0, 0, sign.endswith("warm"), False, age_s)
+        context.warmth.note_report(report, now_s)
+
+
+@then("the limit is {limit:d}")
+def limit_is(context, limit):
+    assert context.warmth.limit(context.pool) == limit, context.warmth.state
+
+
+@given("{count:d} nodes that share a {state} server")
+def nodes_share(context, count, state):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(stop, context)
+    run(context, start_nodes(context, count, state == "warm"))
+
+
+async def start_nodes(context, count, warm):
+    context.clock = ManualClock()
+    context.network = InMemoryNetwork(context.clock)
+    context.server = FakeServer(context.clock, warm=warm)
+    context.configuration = make_configuration()
+    everyone = [f"n{index}" for index in range(count)]
+    servers = {"p-0": context.server}
+    context.nodes = [
+        SlotNode(name, everyone, context.network, context.configuration, servers)
+        for name in everyone
+    ]
+    replica = context.configuration.pools["p"].replicas[0]
+    owner = context.nodes[0].membership.owner_of(replica, "r")
+    context.owner = next(node for node in context.nodes if node.node_id == owner)
+    context.other = next(node for node in context.nodes if node.node_id != owner)
+    context.other_s = context.clock.monotonic_s()
+    await context.clock.advance(8)
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def stop(context):
+    tasks = asyncio.all_tasks(context.loop)
+    for task in tasks:
+        task.cancel()
+    run(context, asyncio.wait(tasks))
+    context.loop.close()
+
+
+async def start_calls(context, node, count, duration_s):
+    context.calls = [
+        asyncio.ensure_future(node.call(f"{node.node_id}/{index}", duration_s))
+        for index in range(count)
+    ]
+    await context.clock.advance(0.1)
+
+
+@when("another node than the owner runs {count:d} calls of {duration_s:g} s")
+def other_runs(context, count, duration_s):
+    run(context, start_calls(context, context.other, count, duration_s))
+    assert len(context.server.calls) + sum(c.done() for c in context.calls) == count
+
+
+@when("another node than the owner runs {count:d} calls of {duration_s:g} s and dies")
+def other_runs_and_dies(context, count, duration_s):
+    other_runs(context, count, duration_s)
+    context.other.task.cancel()
+    context.network.detach(context.other.node_id)
+
+
+@when("the owner runs {count:d} calls of {duration_s:g} s")
+def owner_runs(context, count, duration_s):
+    run(context, start_calls(context, context.owner, count, duration_s))
+    assert len(context.server.calls) == count, context.server.calls
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    run(context, context.clock.advance(seconds))
+
+
+def status(context):
+    return context.owner.service.owned()[0]
+
+
+@then("the owner counts {count:d} slots as committed")
+def owner_counts(context, count):
+    assert status(context).committed == count, status(context)
+
+
+@then("the owner's limit is {limit:d}")
+def owner_limit(context, limit):
+    assert status(context).limit == limit, status(context)
+
+
+@when("a call that seems cold ends at the owner")
+def seems_cold(context):
+    run(context, cold_call(context))
+
+
+async def cold_call(context):
+    borrower = context.owner.service.borrower
+    await wait_for_slot(context, context.owner)
+    slot = borrower.take("p-0", "cold-call", 3.0)
+    context.server.set_warm(False)
+    borrower.release(slot, CallObservation(True, 2.0, 2.0, seems_cold=True))
+    await context.clock.advance(0.05)
+
+
+async def wait_for_slot(context, node):
+    waiting = node.service.borrower.wait_for_slot(["p-0"], 0.9)
+    waiter = asyncio.ensure_future(waiting)
+    while not waiter.done():
+        await context.clock.advance(0.05)
+    return waiter.result()
+
+
+@then("the other node has no free slot")
+def other_has_none(context):
+    view = context.other.service.borrower.view("p-0")
+    assert view.free == 0, view
+
+
+@then("a new call of the other node gets no slot")
+def other_gets_none(context):
+    assert not run(context, wait_for_slot(context, context.other))
+
+
+@when("it hands its loans back")
+def hands_back(context):
+    run(context, context.other.service.hand_back())
+
+
+@then("no message was sent")
+def no_message(context):
+    assert context.network.sent_messages == 0, context.network.sent_messages
+
+
+@when("its failure domain is taken out")
+def domain_out(context):
+    domains = context.configuration.failure_domains
+    out = {name: domain._replace(out=True) for name, domain in domains.items()}
+    change(context, failure_domains=out)
+
+
+@when("the server is draining")
+def draining(context):
+    pool = context.configuration.pools["p"]
+    replica = pool.replicas[0]._replace(draining=True)
+    change(context, pools={"p": pool._replace(replicas=(replica,))})
+
+
+def change(context, **fields):
+    for node in context.nodes:
+        node.configuration.current = context.configuration._replace(**fields)
+
+
+@when("the VM list says that the server leaves")
+def listed_leaving(context):
+    for node in context.nodes:
+        node.membership.leaving.add("p-0")
+
+
+@when("the load report says that the server leaves")
+def reported_leaving(context):
+    context.server.leaving = True
+
+
+@when("membership is unsettled")
+def unsettled(context):
+    context.other.membership.settled = False
+
+
+@when("another node than the owner asks for a call of up to {longest_s:d} s")
+def long_call(context, longest_s):
+    context.tries = run(context, try_long(context, longest_s))
+
+
+async def try_long(context, longest_s):
+    borrower = context.other.service.borrower
+    await wait_for_slot(context, context.other)
+    first = borrower.take("p-0", "long-1", longest_s)
+    await wait_for_slot(context, context.other)
+    return first, borrower.take("p-0", "long-2", longest_s)
+
+
+@then("it is refused at first and gets a slot within 1 s")
+def refused_then_taken(context):
+    first, second = context.tries
+    assert first is None and second is not None, context.tries
+
+
+@when("all nodes offer calls of {duration_s:g} s for {seconds:d} s")
+def all_offer(context, duration_s, seconds):
+    context.completed = {node.node_id: 0 for node in context.nodes}
+    run(context, offer(context, duration_s, seconds))
+
+
+async def offer(context, duration_s, seconds):
+    async def keep_calling(node, worker):
+        number = 0
+        while True:
+            number += 1
+            attempt_id = f"{node.node_id}/{worker}/{number}"
+            if await node.call(attempt_id, duration_s):
+                context.completed[node.node_id] += 1
+
+    for node in context.nodes:
+        for worker in range(3):
+            asyncio.ensure_future(keep_calling(node, worker))
+    await context.clock.advance(seconds)
+
+
+@then("each node completed at least {count:d} calls")
+def each_completed(context, count):
+    assert min(context.completed.values()) >= count, context.completed
