--- /dev/null
+++ b/egretshed/configuration/in_force.py
@@ -0,0 +1,114 @@
+"""The version in force on this node; it only rises."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+
+from egretshed.configuration.check import build_configuration
+from egretshed.configuration.schema import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+)
+from egretshed.configuration.versions import (
+    Objects,
+    VersionRecord,
+    with_changes,
+)
+from egretshed.environment import Environment
+from egretshed.errors import EgretshedError
+from egretshed.invariants import require
+from egretshed.logs import log_event
+
+KEPT_DELTAS_BYTES = 8 * 1024 * 1024
+KEPT_DELTAS = 256
+
+
+class InForce:
+    """Snapshot, its objects and the encoded records of the last versions."""
+
+    def __init__(self, env: Environment):
+        self.env = env
+        self.current: Configuration = EMPTY_CONFIGURATION
+        self.objects: Objects = {}
+        self._deltas: OrderedDict[int, bytes] = OrderedDict()
+        self._deltas_bytes = 0
+        self._callbacks: list[Callable[[Configuration], None]] = []
+
+    @property
+    def version(self) -> int:
+        return self.current.version
+
+    def subscribe(self, callback: Callable[[Configuration], None]) -> None:
+        self._callbacks.append(callback)
+
+    def apply(self, record: VersionRecord) -> bool:
+        """Step to the next version; return False if `record` is not the next one."""
+        if record.version != self.version + 1:
+            return False
+        objects = with_changes(self.objects, record.changes)
+        if not self._step(record.version, objects):
+            return False
+        self._keep(record)
+        return True
+
+    def adopt(self, version: int, objects: Objects) -> bool:
+        """Step to a whole snapshot; return False if it is not a higher version."""
+        if version <= self.version:
+            return False
+        if not self._step(version, objects):
+            return False
+        self._deltas.clear()
+        self._deltas_bytes = 0
+        return True
+
+    def deltas_after(self, version: int) -> list[tuple[int, bytes]] | None:
+        """Return the encoded records that follow `version`, or None if dropped."""
+        wanted = range(version + 1, self.version + 1)
+        if any(number not in self._deltas for number in wanted):
+            return None
+        return [(number, self._deltas[number]) for number in wanted]
+
+    def _step(self, version: int, objects: Objects) -> bool:
+        result = build_configuration(version, objects)
+        if result.is_error():
+            # Accepted versions were checked, so this is a node with older code.
+            log_event(
+                self.env.logger,
+                "configuration_not_understood",
+                version=version,
+                faults=result.error.faults,
+            )
+            return False
+        require(
+            self.env,
+            version > self.version,
+            "P9_version_rises",
+            version=version,
+            in_force=self.version,
+        )
+        self.current = result.ok
+        self.objects = objects
+        self.env.metrics.gauge(
+            "configuration_version", "Version of the configuration in force"
+        ).set(version)
+        log_event(self.env.logger, "configuration_in_force", version=version)
+        self._notify()
+        return True
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            try:
+                callback(self.current)
+            except EgretshedError as error:
+                log_event(
+                    self.env.logger, "configuration_callback_failed", error=str(error)
+                )
+
+    def _keep(self, record: VersionRecord) -> None:
+        body = msgspec.json.encode(record._asdict())
+        self._deltas[record.version] = body
+        self._deltas_bytes += len(body)
+        while self._deltas_bytes > KEPT_DELTAS_BYTES or len(self._deltas) > KEPT_DELTAS:
+            _, dropped = self._deltas.popitem(last=False)
+            self._deltas_bytes -= len(dropped)
