Add configuration fuzz run

Cause: races of operators with outages and lost replies need more cases than tables hold. Change: a state machine over five nodes with an oracle over accepted and refused changes.

--- /dev/null
+++ b/egretshed/configuration/tests/fuzz_configuration.py
@@ -0,0 +1,128 @@
+"""Racing operators against outages, lost replies, restarts, cuts and slow links.
+
+Oracle: a process sees only rising versions; after all faults end and a bound, each
+node has the newest version, every accepted value is in the history, no refused one is.
+"""
+
+import asyncio
+import sys
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+)
+
+from egretshed.configuration.tests.fleet import ConfigurationFleet
+from egretshed.errors import TableOutcomeUnknown
+from standins.fuzzing import run_fuzz
+
+NODES = [f"entry-{number}" for number in range(1, 6)]
+HEAL_BOUND_S = 12.0
+node_ids = st.sampled_from(NODES)
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 99))
+    def start(self, seed):
+        self.loop = asyncio.new_event_loop()
+        self.fleet = ConfigurationFleet(["r1:a", "r1:b", "r1:c", "r2:d", "r2:e"], seed)
+        self.changes = []  # (value, task)
+        self.run(self.fleet.start_all())
+        self.run(self.fleet.clock.advance(3))
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    @rule(operators=st.lists(node_ids, min_size=1, max_size=3))
+    def change(self, operators):
+        """Start changes at once; each sets one model to a value of its own."""
+        for node_id in operators:
+            service = self.fleet.services.get(node_id)
+            if service is not None:
+                value = f"value-{len(self.changes)}"
+                changes = {"models/m": {"version": value}}
+                coroutine = service.change(
+                    service.current.version, changes, node_id, value
+                )
+                self.changes.append((value, self.loop.create_task(coroutine)))
+        self.run(self.fleet.clock.settle())
+
+    @rule(seconds=st.sampled_from([0.05, 0.4, 1.5, 4.0]))
+    def wait(self, seconds):
+        self.run(self.fleet.clock.advance(seconds))
+
+    @rule(node_id=node_ids)
+    def crash(self, node_id):
+        if node_id in self.fleet.nodes:
+            self.run(self.fleet.crash(node_id))
+
+    @rule(node_id=node_ids)
+    def restart(self, node_id):
+        self.crash(node_id)
+        self.run(self.fleet.start_node(node_id))
+
+    @rule(down=st.booleans(), slow_s=st.sampled_from([0.0, 0.1, 0.6]))
+    def table(self, down, slow_s):
+        self.fleet.memory.down = down
+        self.fleet.memory.slow_s = slow_s
+
+    @rule(lost=st.integers(0, 2), dropped=st.integers(0, 2))
+    def lose_replies(self, lost, dropped):
+        self.fleet.memory.lose_next_replies = lost
+        self.fleet.memory.drop_next_writes = dropped
+
+    @rule(size=st.integers(1, 4))
+    def partition(self, size):
+        self.fleet.network.cut_between(set(NODES[:size]), set(NODES[size:]))
+
+    @rule()
+    def heal(self):
+        self.fleet.network.heal()
+
+    @rule(source=node_ids, receiver=node_ids, delay_s=st.sampled_from([0.1, 0.7, 3.0]))
+    def slow_link(self, source, receiver, delay_s):
+        self.fleet.network.delay_s[(source, receiver)] = delay_s
+        self.fleet.network.duplicate.add((source, receiver))
+
+    @rule()
+    def check_after_heal(self):
+        network, memory = self.fleet.network, self.fleet.memory
+        network.heal()
+        network.delay_s.clear()
+        network.duplicate.clear()
+        memory.down = False
+        memory.slow_s = memory.lose_next_replies = memory.drop_next_writes = 0
+        self.run(self.fleet.clock.advance(HEAL_BOUND_S))
+        stored = memory.core.table.dump()
+        versions = sorted(k for k in stored if k.startswith("configuration/versions/"))
+        written = [stored[key]["changes"]["models/m"]["version"] for key in versions]
+        self.check_outcomes(written)
+        for node_id, service in self.fleet.services.items():
+            assert service.is_ready and service.is_fresh(), node_id
+            assert service.current.version == len(written), node_id
+            value = {n: m.version for n, m in service.current.models.items()}
+            assert value == ({"m": written[-1]} if written else {}), node_id
+        for process, seen in self.fleet.versions_seen.items():
+            assert seen == sorted(set(seen)), (process, seen)
+
+    def check_outcomes(self, written):
+        for value, task in self.changes:
+            assert task.done(), f"change {value} has no outcome"
+            error = task.exception()
+            if error is None:
+                assert written.count(value) == 1, f"accepted {value} is lost"
+                assert written[task.result() - 1] == value
+            elif not isinstance(error, TableOutcomeUnknown):
+                assert value not in written, f"refused {value} took effect: {error!r}"
+
+    def teardown(self):
+        if hasattr(self, "fleet"):
+            self.check_after_heal()
+            self.run(self.fleet.stop())
+            self.loop.close()
+
+
+if __name__ == "__main__":
+    sys.exit(run_fuzz(ConfigurationMachine, examples=25, steps=15))
