--- a/egretshed/peers/network.py
+++ b/egretshed/peers/network.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import socket
 import struct
 from collections.abc import (
     Awaitable,
@@ -23,7 +24,6 @@
     IOStream,
     StreamClosedError,
 )
-from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
 from egretshed.environment import Environment
@@ -56,6 +56,8 @@
 )
 
 LENGTH_BYTES = 4
+# Strangers can make a node buffer no more than this before they are refused.
+HELLO_LIMIT_BYTES = 1024
 
 
 class Sender(NamedTuple):
@@ -126,9 +128,11 @@
     await stream.write(struct.pack("!I", MAC_BYTES + len(body)) + mac + body)
 
 
-async def read_frame(stream: IOStream, env: Environment) -> tuple[bytes, bytes]:
+async def read_frame(
+    stream: IOStream, env: Environment, limit_bytes: int | None = None
+) -> tuple[bytes, bytes]:
     (length,) = struct.unpack("!I", await stream.read_bytes(LENGTH_BYTES))
-    if not MAC_BYTES <= length <= env.settings.peers.max_frame_bytes:
+    if not MAC_BYTES <= length <= (limit_bytes or env.settings.peers.max_frame_bytes):
         raise MalformedMessage(f"frame length {length} is out of bounds")
     data = await stream.read_bytes(length)
     env.metrics.counter(
@@ -236,8 +240,12 @@
         env = self.env
         timeout_s = env.settings.peers.connect_timeout_s
         async with asyncio.timeout(timeout_s):
-            stream = await TCPClient().connect(*self.address)
+            # Addresses are IP numbers. Unlike TCPClient, a stream of our own is closed
+            # when a short call timeout cancels the connect.
+            family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
+            stream = IOStream(socket.socket(family))
             try:
+                await stream.connect(self.address)
                 return await self._authenticate(stream)
             except BaseException:
                 stream.close()
@@ -249,7 +257,7 @@
         nonce = os.urandom(NONCE_BYTES)
         body = _hello(self.env, nonce)
         await write_frame(stream, Channel(key).mac(True, body), body, self.env)
-        mac, body = await read_frame(stream, self.env)
+        mac, body = await read_frame(stream, self.env, HELLO_LIMIT_BYTES)
         Channel(key, client_nonce=nonce).check(False, mac, body)
         hello = decode(Hello, body)
         if hello.node_id != self.node_id:
@@ -296,6 +304,7 @@
         self._clients: dict[str, PeerClient] = {}
         self._server = _PeerServer(self)
         self._tasks: set[asyncio.Task] = set()
+        self._accepted: set[IOStream] = set()
 
     def start(self, sockets: list) -> None:
         self._server.add_sockets(sockets)
@@ -304,6 +313,8 @@
         self._server.stop()
         for client in self._clients.values():
             client.close()
+        for stream in list(self._accepted):
+            stream.close()
         for task in list(self._tasks):
             task.cancel()
 
@@ -349,6 +360,7 @@
 
     async def serve(self, stream: IOStream) -> None:
         """Serve one incoming connection until it closes."""
+        self._accepted.add(stream)
         stream.set_nodelay(True)
         try:
             async with asyncio.timeout(self.env.settings.peers.connect_timeout_s):
@@ -356,20 +368,23 @@
             while True:
                 kind, call_id, message = await connection.read()
                 self._spawn(self._answer(connection, sender, kind, call_id, message))
-        except (StreamClosedError, TimeoutError):
+        except StreamClosedError:
             pass
+        except TimeoutError:
+            self._log_refused("timeout", "no handshake in time")
         except EgretshedError as error:
-            log_event(
-                self.env.logger,
-                "peer_connection_refused",
-                error=error.code,
-                reason=str(error),
-            )
+            self._log_refused(error.code, str(error))
         finally:
+            self._accepted.discard(stream)
             stream.close()
 
+    def _log_refused(self, error: str, reason: str) -> None:
+        log_event(
+            self.env.logger, "peer_connection_refused", error=error, reason=reason
+        )
+
     async def _accept(self, stream: IOStream) -> tuple[_Connection, Sender]:
-        mac, body = await read_frame(stream, self.env)
+        mac, body = await read_frame(stream, self.env, HELLO_LIMIT_BYTES)
         key = matching_key(self.env.settings.peers.keys, mac, body)
         if key is None:
             raise PeerAuthenticationFailed("first frame has a wrong MAC")
