--- /dev/null
+++ b/egretshed/claims/tests/fuzz_claims.py
@@ -0,0 +1,177 @@
+"""Several nodes race for the same request ids while the table and nodes fail.
+
+Oracle: a run counter per id never exceeds 1; an id whose outcome is `not_run` has no
+run; a stored outcome never changes; every submission is answered once all is healed.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from late_table import LateTable  # noqa: E402
+
+from egretshed.claims.service import ClaimService  # noqa: E402
+from egretshed.errors import EgretshedError  # noqa: E402
+from standins.clock import ManualClock  # noqa: E402
+from standins.environments import make_environment  # noqa: E402
+from standins.fuzz import fuzz_main  # noqa: E402
+from standins.memory_platform import MemoryPlatform  # noqa: E402
+
+NODES = ("n1", "n2", "n3")
+EXAMPLES = 60
+STEPS = 30
+CUSTOMER = "c"
+
+nodes = st.sampled_from(NODES)
+ids = st.integers(0, 3)
+few = st.integers(0, 3)
+
+
+class Node:
+    """One process; `end` cancels all of its tasks, as a crash does."""
+
+    def __init__(self, world, node_id, incarnation):
+        self.incarnation = incarnation
+        env = make_environment(world.clock, node_id, incarnation)
+        self.service = ClaimService(env, world.platform, world.is_alive)
+        self.tasks = [world.loop.create_task(self.service.run())]
+
+    def end(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.memory = MemoryPlatform(self.clock)
+        self.table = LateTable(self.memory)
+        self.platform = self.memory.platform._replace(table=self.table)
+        self.suspected = set()
+        self.nodes = {name: Node(self, name, 1) for name in NODES}
+        self.issued = []
+        self.runs = {}
+        self.stored = {}
+        self.settle(0)
+
+    def is_alive(self, node_id, incarnation):
+        current = self.nodes[node_id].incarnation
+        return node_id not in self.suspected and current == incarnation
+
+    def settle(self, seconds):
+        self.loop.run_until_complete(self.clock.advance(seconds))
+
+    async def submission(self, service, request_id, pause_s):
+        try:
+            claim = await service.claim(CUSTOMER, request_id)
+        except EgretshedError:
+            return
+        await self.clock.sleep(pause_s)
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        await self.clock.sleep(pause_s / 2)
+        await service.store_outcome(claim, {"by": claim.token})
+
+    def submit_one(self, name, request_id, pause_s):
+        node = self.nodes[name]
+        work = self.submission(node.service, request_id, pause_s)
+        node.tasks.append(self.loop.create_task(work))
+
+    @rule(name=nodes, number=ids, pause_s=st.sampled_from([0, 0, 1, 20]))
+    def submit(self, name, number, pause_s):
+        self.submit_one(name, f"r{number}", pause_s)
+
+    @rule(number=ids, pause_s=st.sampled_from([0, 1]))
+    def submit_everywhere(self, number, pause_s):
+        for name in NODES:
+            self.submit_one(name, f"r{number}", pause_s)
+
+    @rule(name=nodes)
+    def issue(self, name):
+        self.issued += self.nodes[name].service.issue_ids(CUSTOMER, 1)
+
+    @rule(name=nodes, number=st.integers(0, 5), pause_s=st.sampled_from([0, 1]))
+    def submit_issued(self, name, number, pause_s):
+        if self.issued:
+            self.submit_one(name, self.issued[number % len(self.issued)], pause_s)
+
+    @rule(name=nodes, number=ids)
+    def caller_gives_up(self, name, number):
+        tasks = self.nodes[name].tasks[1:]
+        if tasks:
+            tasks[number % len(tasks)].cancel()
+
+    @rule(name=nodes)
+    def restart(self, name):
+        self.nodes[name].end()
+        self.settle(0)
+        self.nodes[name] = Node(self, name, self.nodes[name].incarnation + 1)
+
+    @rule(name=nodes)
+    def suspect(self, name):
+        self.suspected ^= {name}
+
+    @rule(down=st.booleans())
+    def outage(self, down):
+        self.memory.down = down
+
+    @rule(lost=few, dropped=few, late=few, late_s=st.sampled_from([0.01, 1, 15]))
+    def bad_writes(self, lost, dropped, late, late_s):
+        self.memory.lose_next_replies = lost
+        self.memory.drop_next_writes = dropped
+        self.table.late_writes = late
+        self.table.late_s = late_s
+
+    @rule(slow_s=st.sampled_from([0, 0.01, 2]))
+    def slow(self, slow_s):
+        self.memory.slow_s = slow_s
+
+    @rule(seconds=st.sampled_from([0.01, 0.03, 0.5, 3, 12]))
+    def advance(self, seconds):
+        self.settle(seconds)
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+
+    @invariant()
+    def outcomes_stay_and_are_true(self):
+        for key, row in self.memory.core.table.dump().items():
+            if row["state"] != "done":
+                continue
+            assert self.stored.setdefault(key, row) == row, key
+            request_id = key.removeprefix(f"claims/{CUSTOMER}/")
+            expected = 0 if "error" in row["outcome"] else 1
+            assert self.runs.get(request_id, 0) == expected, row
+
+    def teardown(self):
+        self.memory.down = False
+        self.memory.slow_s = 0.0
+        self.memory.lose_next_replies = self.memory.drop_next_writes = 0
+        self.table.late_writes = 0
+        self.settle(120)
+        self.runs_at_most_once()
+        self.outcomes_stay_and_are_true()
+        waiting = [t for n in self.nodes.values() for t in n.tasks[1:] if not t.done()]
+        assert not waiting, "a submission was never answered"
+        tasks = [task for node in self.nodes.values() for task in node.tasks]
+        failed = [t for t in tasks if t.done() and not t.cancelled() and t.exception()]
+        assert not failed, failed[0].exception()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.settle(0)
+        self.loop.close()
+
+
+if __name__ == "__main__":
+    fuzz_main(ClaimsMachine, EXAMPLES, STEPS)
--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -116,6 +116,24 @@
     exit_status = ExitStatus.REFUSED
 
 
+# Claims on requests that must not be repeated.
+
+
+class AlreadyClaimed(EgretshedError):
+    """Another submission of this request id came first; this one does not run.
+
+    Fields: `state` (running, done or unknown), `outcome` (dict or None), `node_id`.
+    """
+
+    code = "already_claimed"
+    http_status = 409
+    exit_status = ExitStatus.CONFLICT
+
+
+class ClaimsUnavailable(NotRun):
+    """The claim could not be decided, so this submission does not run."""
+
+
 # Outcomes of requests that ran.
 
 
