Test claims by table and sharpen the claims fuzz run

Change: claims.feature; the fuzz run issues an id at each start of a node and checks that outcomes of live nodes are stored and that no unused claim stays open. Conclusion: claims are covered through lost, dropped and late writes and restarts.

--- /dev/null
+++ b/egretshed/claims/tests/claims.feature
@@ -0,0 +1,95 @@
+Feature: A request id runs at most once and its outcome is kept
+
+  # Guards against a second run (P6) and against an answer that differs by node.
+  Scenario Outline: <first>, then the id is submitted at <at>: <answer>
+    Given nodes n1 and n2 over one table
+    When n1 claims "r1"
+    And <first>
+    Then claiming "r1" at <at> gives "<answer>"
+
+    Examples:
+      | first                     | at | answer                  |
+      | nothing happens           | n1 | already_claimed running |
+      | nothing happens           | n2 | already_claimed running |
+      | n1 stores the outcome     | n1 | already_claimed done    |
+      | n1 stores the outcome     | n2 | already_claimed done    |
+      | n1 stores a large outcome | n2 | already_claimed done    |
+      | n1 dies                   | n2 | already_claimed unknown |
+      | n1 restarts               | n1 | already_claimed unknown |
+      | the table goes down       | n1 | already_claimed running |
+      | the table goes down       | n2 | not_run                 |
+
+  # Guards against a claim decided by an absent row while its write is on its way.
+  Scenario Outline: The write of n1's claim <fault>
+    Given nodes n1 and n2 over one table
+    When the next write <fault>
+    And n1 asks to claim "r1"
+    And <then>
+    Then n1's answer is "<answer>"
+    And claiming "r1" at n2 gives "<other>"
+
+    Examples:
+      | fault                  | then                | answer  | other                   |
+      | loses its reply        | nothing happens     | claimed | already_claimed running |
+      | is lost                | nothing happens     | claimed | already_claimed running |
+      | takes effect 5 s later | 8 s pass            | claimed | already_claimed running |
+      | then the table is down | nothing happens     | not_run | not_run                 |
+      | then the table is down | the table comes up  | not_run | already_claimed running |
+
+  # Guards against an id that stays claimed for ever although it never ran.
+  Scenario: A claim whose submission was refused is used again or closed
+    Given nodes n1 and n2 over one table
+    When the next write then the table is down
+    And n1 asks to claim "r1"
+    And the table comes up
+    And 15 s pass
+    Then n1's answer is "not_run"
+    And claiming "r1" at n2 gives "already_claimed done"
+    And the outcome of "r1" at n2 has error "not_run"
+
+  # Guards against issued ids that need the table, run twice, or run elsewhere.
+  Scenario Outline: An issued id <event>, submitted at <at>: <answer>
+    Given nodes n1 and n2 over one table
+    When n1 issues an id and the table goes down
+    And <event>
+    Then claiming the issued id at <at> gives "<answer>"
+
+    Examples:
+      | event                 | at | answer                  |
+      | nothing happens       | n1 | claimed                 |
+      | nothing happens       | n2 | not_run                 |
+      | n1 claims it          | n1 | already_claimed running |
+      | n1 dies               | n2 | unknown                 |
+      | n1 restarts           | n1 | unknown                 |
+      | it has a wrong MAC    | n1 | invalid_request         |
+      | customer d submits it | n1 | invalid_request         |
+
+  # Guards against an outcome lost in an outage, or replaced by a second one.
+  Scenario: An outcome outlives an outage and is written once
+    Given nodes n1 and n2 over one table
+    When n1 claims "r1"
+    And the table goes down
+    And n1 stores the outcome
+    And 60 s pass
+    And the table comes up
+    Then claiming "r1" at n2 gives "already_claimed done"
+    And storing another outcome at n1 is refused
+
+  # Guards against one table write per claim, and a group lost to one taken id.
+  Scenario: Claims that arrive together share a transaction
+    Given nodes n1 and n2 over one table
+    When n2 claims "r7"
+    And n1 is asked for the claims r0 to r49 at once
+    Then 49 are claimed and 1 is taken, in 2 more transactions
+
+  # Guards against memory that grows with each issued id.
+  Scenario Outline: Numbers <numbers> are kept as <ranges> ranges
+    When the numbers <numbers> are used, with at most 3 ranges
+    Then <ranges> ranges are kept, with <used> in them and <unused> not
+
+    Examples:
+      | numbers   | ranges | used    | unused |
+      | 1 2 3 4   | 1      | 1 4     | 5      |
+      | 3 1 2     | 1      | 1 2 3   | 4      |
+      | 1 5 3     | 3      | 1 3 5   | 2 4    |
+      | 9 1 3 5   | 3      | 1 2 3 9 | 4 7    |
--- a/egretshed/claims/tests/fuzz_claims.py
+++ b/egretshed/claims/tests/fuzz_claims.py
@@ -1,7 +1,8 @@
 """Several nodes race for the same request ids while the table and nodes fail.
 
 Oracle: a run counter per id never exceeds 1; an id whose outcome is `not_run` has no
-run; a stored outcome never changes; every submission is answered once all is healed.
+run; a stored outcome never changes. Once all is healed, every submission is answered,
+outcomes of live nodes are stored, and a live node holds no claim that it never used.
 """
 
 import asyncio
@@ -44,6 +45,7 @@
         env = make_environment(world.clock, node_id, incarnation)
         self.service = ClaimService(env, world.platform, world.is_alive)
         self.tasks = [world.loop.create_task(self.service.run())]
+        world.issued += self.service.issue_ids(CUSTOMER, 1)
 
     def end(self):
         for task in self.tasks:
@@ -59,10 +61,12 @@
         self.table = LateTable(self.memory)
         self.platform = self.memory.platform._replace(table=self.table)
         self.suspected = set()
-        self.nodes = {name: Node(self, name, 1) for name in NODES}
         self.issued = []
         self.runs = {}
         self.stored = {}
+        self.given = set()
+        self.finished = []
+        self.nodes = {name: Node(self, name, 1) for name in NODES}
         self.settle(0)
 
     def is_alive(self, node_id, incarnation):
@@ -72,19 +76,21 @@
     def settle(self, seconds):
         self.loop.run_until_complete(self.clock.advance(seconds))
 
-    async def submission(self, service, request_id, pause_s):
+    async def submission(self, node, request_id, pause_s):
         try:
-            claim = await service.claim(CUSTOMER, request_id)
+            claim = await node.service.claim(CUSTOMER, request_id)
         except EgretshedError:
             return
+        self.given.add(claim.key)
         await self.clock.sleep(pause_s)
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         await self.clock.sleep(pause_s / 2)
-        await service.store_outcome(claim, {"by": claim.token})
+        await node.service.store_outcome(claim, {"by": claim.token})
+        self.finished.append((node, claim.key))
 
     def submit_one(self, name, request_id, pause_s):
         node = self.nodes[name]
-        work = self.submission(node.service, request_id, pause_s)
+        work = self.submission(node, request_id, pause_s)
         node.tasks.append(self.loop.create_task(work))
 
     @rule(name=nodes, number=ids, pause_s=st.sampled_from([0, 0, 1, 20]))
@@ -96,14 +102,9 @@
         for name in NODES:
             self.submit_one(name, f"r{number}", pause_s)
 
-    @rule(name=nodes)
-    def issue(self, name):
-        self.issued += self.nodes[name].service.issue_ids(CUSTOMER, 1)
-
     @rule(name=nodes, number=st.integers(0, 5), pause_s=st.sampled_from([0, 1]))
     def submit_issued(self, name, number, pause_s):
-        if self.issued:
-            self.submit_one(name, self.issued[number % len(self.issued)], pause_s)
+        self.submit_one(name, self.issued[number % len(self.issued)], pause_s)
 
     @rule(name=nodes, number=ids)
     def caller_gives_up(self, name, number):
@@ -154,6 +155,16 @@
             expected = 0 if "error" in row["outcome"] else 1
             assert self.runs.get(request_id, 0) == expected, row
 
+    def live_nodes_leave_nothing_open(self):
+        rows = self.memory.core.table.dump()
+        for node, key in self.finished:
+            if node in self.nodes.values():
+                assert rows[key]["state"] == "done", f"{key} was not stored"
+        for key, row in rows.items():
+            if row["state"] == "claimed" and key not in self.given:
+                current = self.nodes[row["node_id"]].incarnation
+                assert row["incarnation"] != current, f"{key} stays claimed, unused"
+
     def teardown(self):
         self.memory.down = False
         self.memory.slow_s = 0.0
@@ -164,6 +175,7 @@
         self.outcomes_stay_and_are_true()
         waiting = [t for n in self.nodes.values() for t in n.tasks[1:] if not t.done()]
         assert not waiting, "a submission was never answered"
+        self.live_nodes_leave_nothing_open()
         tasks = [task for node in self.nodes.values() for task in node.tasks]
         failed = [t for t in tasks if t.done() and not t.cancelled() and t.exception()]
         assert not failed, failed[0].exception()
--- /dev/null
+++ b/egretshed/claims/tests/steps/claims_steps.py
@@ -0,0 +1,273 @@
+import asyncio
+import sys
+from pathlib import Path
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from late_table import LateTable  # noqa: E402
+
+from egretshed.claims.issued import NumberRanges  # noqa: E402
+from egretshed.claims.records import MAX_ROW_OUTCOME_BYTES  # noqa: E402
+from egretshed.claims.service import ClaimService  # noqa: E402
+from egretshed.errors import (  # noqa: E402
+    EgretshedError,
+    InvariantViolated,
+)
+from standins.clock import ManualClock  # noqa: E402
+from standins.environments import make_environment  # noqa: E402
+from standins.memory_platform import MemoryPlatform  # noqa: E402
+
+ANSWER_S = 1.0
+
+
+class Nodes:
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.memory = MemoryPlatform(self.clock)
+        self.table = LateTable(self.memory)
+        self.platform = self.memory.platform._replace(table=self.table)
+        self.services = {}
+        self.incarnations = {}
+        self.runners = {}
+        self.customer = "c"
+        for name in ("n1", "n2"):
+            self.start(name)
+
+    def start(self, name):
+        self.incarnations[name] = self.incarnations.get(name, 0) + 1
+        env = make_environment(self.clock, name, self.incarnations[name])
+        self.services[name] = ClaimService(env, self.platform, self.is_alive)
+        self.runners[name] = self.loop.create_task(self.services[name].run())
+
+    def end(self, name):
+        self.runners.pop(name).cancel()
+
+    def is_alive(self, node_id, incarnation):
+        running = node_id in self.runners
+        return running and self.incarnations[node_id] == incarnation
+
+    def ask(self, name, request_id):
+        async def answer():
+            try:
+                return await self.services[name].claim(self.customer, request_id)
+            except EgretshedError as error:
+                return error
+
+        return self.loop.create_task(answer())
+
+    def settle(self, seconds=ANSWER_S):
+        self.loop.run_until_complete(self.clock.advance(seconds))
+
+    def claim(self, name, request_id):
+        task = self.ask(name, request_id)
+        self.settle()
+        return task.result()
+
+    def close(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.settle(0)
+        self.loop.close()
+
+
+def text(answer):
+    if not isinstance(answer, EgretshedError):
+        return "claimed"
+    return f"{answer.code} {answer.fields.get('state', '')}".strip()
+
+
+@given("nodes n1 and n2 over one table")
+def two_nodes(context):
+    context.nodes = Nodes()
+    context.add_cleanup(context.nodes.close)
+
+
+@when('{name} claims "{request_id}"')
+def claims(context, name, request_id):
+    context.claim = context.nodes.claim(name, request_id)
+    assert text(context.claim) == "claimed", context.claim
+
+
+@when("nothing happens")
+def nothing(context):
+    pass
+
+
+@when("{name} stores the outcome")
+def stores(context, name):
+    store(context, name, {"ok": True})
+
+
+@when("{name} stores a large outcome")
+def stores_large(context, name):
+    store(context, name, {"text": "x" * MAX_ROW_OUTCOME_BYTES})
+    assert len(context.nodes.memory.core.objects) == 1
+
+
+def store(context, name, outcome):
+    nodes = context.nodes
+    work = nodes.services[name].store_outcome(context.claim, outcome)
+    nodes.loop.run_until_complete(work)
+    nodes.settle()
+
+
+@when("{name} dies")
+def dies(context, name):
+    context.nodes.end(name)
+
+
+@when("{name} restarts")
+def restarts(context, name):
+    context.nodes.end(name)
+    context.nodes.start(name)
+
+
+@when("the table goes down")
+def down(context):
+    context.nodes.memory.down = True
+
+
+@when("the table comes up")
+def up(context):
+    context.nodes.memory.down = False
+    context.nodes.settle(3)
+
+
+@when("{seconds:g} s pass")
+def time_passes(context, seconds):
+    context.nodes.settle(seconds)
+
+
+@then('claiming "{request_id}" at {name} gives "{expected}"')
+def claiming(context, request_id, name, expected):
+    answer = context.nodes.claim(name, request_id)
+    assert text(answer) == expected, answer
+
+
+@when("the next write loses its reply")
+def loses_reply(context):
+    context.nodes.memory.lose_next_replies = 1
+
+
+@when("the next write is lost")
+def is_lost(context):
+    context.nodes.memory.drop_next_writes = 1
+
+
+@when("the next write takes effect 5 s later")
+def takes_effect_later(context):
+    context.nodes.table.late_writes = 1
+
+
+@when("the next write then the table is down")
+def then_down(context):
+    memory = context.nodes.memory
+    memory.lose_next_replies = 1
+    inner = context.nodes.table.inner
+
+    class DownAfterWrite:
+        read = inner.read
+        scan = inner.scan
+
+        async def transact(self, conditions, writes):
+            context.nodes.table.inner = inner
+            try:
+                await inner.transact(conditions, writes)
+            finally:
+                memory.down = True
+
+    context.nodes.table.inner = DownAfterWrite()
+
+
+@when('{name} asks to claim "{request_id}"')
+def asks(context, name, request_id):
+    context.asked = context.nodes.ask(name, request_id)
+    context.nodes.settle()
+
+
+@then('n1\'s answer is "{expected}"')
+def answer_is(context, expected):
+    assert text(context.asked.result()) == expected, context.asked.result()
+
+
+@then('the outcome of "{request_id}" at {name} has error "{code}"')
+def outcome_error(context, request_id, name, code):
+    work = context.nodes.services[name].outcome("c", request_id)
+    found = context.nodes.loop.run_until_complete(work)
+    assert found.outcome["error"] == code, found
+
+
+@when("n1 issues an id and the table goes down")
+def issues(context):
+    context.issued = context.nodes.services["n1"].issue_ids("c", 1)[0]
+    context.nodes.memory.down = True
+
+
+@when("n1 claims it")
+def claims_it(context):
+    claims(context, "n1", context.issued)
+
+
+@when("it has a wrong MAC")
+def wrong_mac(context):
+    last = "0" if context.issued[-1] != "0" else "1"
+    context.issued = context.issued[:-1] + last
+
+
+@when("customer d submits it")
+def other_customer(context):
+    context.nodes.customer = "d"
+
+
+@then('claiming the issued id at {name} gives "{expected}"')
+def claiming_issued(context, name, expected):
+    claiming(context, context.issued, name, expected)
+
+
+@then("storing another outcome at {name} is refused")
+def second_outcome(context, name):
+    try:
+        store(context, name, {"ok": False})
+    except InvariantViolated:
+        return
+    raise AssertionError("a second outcome was accepted")
+
+
+@when("n1 is asked for the claims r0 to r49 at once")
+def many_claims(context):
+    counts = context.nodes.memory.counts
+    before = counts["transactions"] + counts["conflicts"]
+    tasks = [context.nodes.ask("n1", f"r{number}") for number in range(50)]
+    context.nodes.settle()
+    context.answers = [text(task.result()) for task in tasks]
+    context.used = counts["transactions"] + counts["conflicts"] - before
+
+
+@then("{ours:d} are claimed and {taken:d} is taken, in {count:d} more transactions")
+def group_result(context, ours, taken, count):
+    assert context.answers.count("claimed") == ours, context.answers
+    assert context.answers.count("already_claimed running") == taken
+    assert context.used == count, context.used
+
+
+@when("the numbers {numbers} are used, with at most 3 ranges")
+def numbers_used(context, numbers):
+    context.ranges = NumberRanges(max_ranges=3)
+    for number in numbers.split():
+        assert context.ranges.add(int(number))
+
+
+@then("{count:d} ranges are kept, with {used} in them and {unused} not")
+def ranges_kept(context, count, used, unused):
+    ranges = context.ranges
+    assert len(ranges) == count, len(ranges)
+    assert all(int(number) in ranges for number in used.split())
+    assert not any(int(number) in ranges for number in unused.split())
+    assert not any(ranges.add(int(number)) for number in used.split())
