--- /dev/null
+++ b/egretshed/plans/executor.py
@@ -0,0 +1,259 @@
+"""Carries out confirmed plans on the one node that holds the executor lease.
+
+All progress is in the table. Each pass reads it again, so a lost reply or a successor
+needs no handling of its own: the step is repeated or found done.
+"""
+
+import asyncio
+import logging
+from typing import Any
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    EgretshedError,
+    PlatformUnavailable,
+    TableConflict,
+    TableOutcomeUnknown,
+)
+from egretshed.logs import log_event
+from egretshed.plans.actions import (
+    ACTIONS,
+    StepContext,
+    StepResult,
+)
+from egretshed.plans.lease import (
+    ExecutorLease,
+    LeaseLost,
+)
+from egretshed.plans.model import (
+    Plan,
+    Step,
+)
+from egretshed.plans.store import (
+    ACTIVE_KEY,
+    Active,
+    PlanStore,
+    StoredPlan,
+    read_active,
+)
+from egretshed.platform.interface import Platform
+
+
+class PlanExecutor:
+    """Runs on every node; `on_leave` is called when a plan drains this node."""
+
+    def __init__(
+        self,
+        env: Environment,
+        platform: Platform,
+        configuration: Any,
+        membership: Any,
+        backends: Any,
+    ):
+        self.env = env
+        self.table = platform.table
+        self.store = PlanStore(env, platform.table)
+        self.lease = ExecutorLease(env, platform.table)
+        self.on_leave = membership.leave
+        self.context = StepContext(
+            env, platform, configuration, membership, backends, self.lease
+        )
+        self._wake = asyncio.Event()
+        self._attempts: dict[tuple[str, str], int] = {}
+        self._waiting_since_s: dict[tuple[str, str], float] = {}
+        self._has_left = False
+
+    def wake(self) -> None:
+        """Look for work now instead of at the next poll."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        while True:
+            self._wake.clear()
+            busy = False
+            try:
+                busy = await self.run_once()
+            except (PlatformUnavailable, TableOutcomeUnknown, TableConflict) as error:
+                self._log("plan_pass_failed", error=error.code, detail=str(error))
+            except LeaseLost as error:
+                self._log("executor_lease_lost", detail=str(error))
+            except EgretshedError as error:
+                self._log(
+                    "plan_pass_failed",
+                    level=logging.ERROR,
+                    error=error.code,
+                    detail=str(error),
+                )
+            plans = self.env.settings.plans
+            await self._sleep(plans.step_period_s if busy else plans.idle_poll_s)
+
+    async def stop(self) -> None:
+        """Give up the lease after `run` was cancelled, so that a successor starts."""
+        if self.lease.is_held:
+            await self.lease.release()
+
+    async def run_once(self) -> bool:
+        """Advance each active plan by at most one step.
+
+        Return whether this node is the executor.
+        """
+        active = read_active((await self.table.read([ACTIVE_KEY])).get(ACTIVE_KEY))
+        if not active.plans:
+            if self.lease.is_held:
+                await self.lease.release()
+            return False
+        await self._leave_if_ordered(active)
+        if not await self._hold_lease():
+            return False
+        for plan_id in sorted(active.plans):
+            await self._renew_if_due()
+            await self._advance(plan_id)
+        return True
+
+    async def _sleep(self, seconds: float) -> None:
+        timer = asyncio.ensure_future(self.env.clock.sleep(seconds))
+        wake = asyncio.ensure_future(self._wake.wait())
+        try:
+            await asyncio.wait({timer, wake}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            wake.cancel()
+
+    async def _hold_lease(self) -> bool:
+        if self.lease.left_s() <= 0:
+            self.lease.drop()
+        if not self.lease.is_held and not await self.lease.acquire():
+            return False
+        return True
+
+    async def _renew_if_due(self) -> None:
+        plans = self.env.settings.plans
+        if self.lease.left_s() < plans.lease_s - plans.order_timeout_s:
+            await self.lease.renew()
+
+    async def _advance(self, plan_id: str) -> None:
+        stored, active = await self.store.read(plan_id)
+        plan = stored.plan
+        step = plan.next_step()
+        if step is None:
+            await self._end(stored, active, plan, "done", "all steps are done")
+        elif step.state == "running":
+            # Started steps are finished before a pause or abort, so that a late
+            # repetition by an earlier executor finds a newer state and does nothing.
+            await self._act(stored, active, step)
+        elif plan.control == "abort":
+            reason = f"aborted by operator before step {step.step_id}"
+            await self._end(stored, active, plan, "aborted", reason)
+        elif plan.control == "pause":
+            if plan.state != "paused":
+                await self._save(stored, plan._replace(state="paused"))
+        else:
+            await self._start(stored, active, step)
+
+    async def _start(self, stored: StoredPlan, active: Active, step: Step) -> None:
+        running = step._replace(state="running")
+        plan = stored.plan._replace(state="running").with_step(running)
+        await self._save(stored, plan)
+        stored, active = await self.store.read(plan.plan_id)
+        await self._act(stored, active, running)
+
+    async def _act(self, stored: StoredPlan, active: Active, step: Step) -> None:
+        plan = stored.plan
+        result = await ACTIONS.get(step.action)(self.context, plan, step)
+        verdict = self._with_limits(plan, step, result)
+        if verdict == "done":
+            done = step._replace(state="done", detail=result.detail)
+            version = max(plan.configuration_version, result.configuration_version)
+            plan = plan.with_step(done)._replace(configuration_version=version)
+            if plan.next_step() is None:
+                await self._end(stored, active, plan, "done", "all steps are done")
+            else:
+                await self._save(stored, plan)
+        elif verdict == "stop":
+            reason = f"step {step.step_id} ({step.description}): {result.detail}"
+            plan = plan.with_step(step._replace(detail=result.detail))
+            state = "aborted" if plan.control == "abort" else "stopped"
+            await self._end(stored, active, plan, state, reason)
+        elif result.detail != step.detail:
+            await self._save(
+                stored, plan.with_step(step._replace(detail=result.detail))
+            )
+
+    def _with_limits(self, plan: Plan, step: Step, result: StepResult) -> str:
+        """Return done, wait or stop; repeated failures and long waits stop the plan."""
+        key = (plan.plan_id, step.step_id)
+        limits = self.env.settings.plans
+        if result.verdict == "failed":
+            self._attempts[key] = self._attempts.get(key, 0) + 1
+            return "stop" if self._attempts[key] >= limits.order_attempts else "wait"
+        if result.verdict == "wait":
+            now_s = self.env.clock.monotonic_s()
+            since_s = self._waiting_since_s.setdefault(key, now_s)
+            limit_s = max(limits.wait_limit_s, result.limit_s)
+            # A wait has no effect to finish, so an abort ends it at once.
+            waits_only = step.action.startswith(("wait_", "check_"))
+            aborted = plan.control == "abort" and waits_only
+            return "stop" if aborted or now_s - since_s >= limit_s else "wait"
+        self._attempts.pop(key, None)
+        self._waiting_since_s.pop(key, None)
+        return result.verdict
+
+    async def _save(self, stored: StoredPlan, plan: Plan) -> None:
+        conditions = [stored.condition(), self.lease.condition()]
+        await self.store.write(plan, conditions)
+
+    async def _end(
+        self, stored: StoredPlan, active: Active, plan: Plan, state: str, reason: str
+    ) -> None:
+        """Write the final state and give up what the plan reserved."""
+        plan = plan._replace(state=state, reason=f"{reason}; {_safe_state(plan)}")
+        plans = {
+            id_: entry for id_, entry in active.plans.items() if id_ != plan.plan_id
+        }
+        domains_out = {
+            name: entry
+            for name, entry in active.domains_out.items()
+            if not self._is_back(name, entry, plan)
+        }
+        after = active._replace(plans=plans, domains_out=domains_out)
+        conditions = [stored.condition(), active.condition(), self.lease.condition()]
+        await self.store.write(plan, conditions, (after.write(),))
+        self._log("plan_ended", plan_id=plan.plan_id, state=state, reason=plan.reason)
+
+    def _is_back(self, name: str, entry: dict, plan: Plan) -> bool:
+        """Whether the domain is known to be in service after `plan`."""
+        changed = [
+            step.arguments["changes"].get(f"failure_domains/{name}", {})
+            for step in plan.steps
+            if step.action == "configuration" and step.state != "pending"
+        ]
+        if entry["plan_id"] == plan.plan_id:
+            return not any(body and body.get("out") for body in changed)
+        done = plan.next_step() is None
+        return done and any(
+            body is None or body and not body.get("out") for body in changed
+        )
+
+    async def _leave_if_ordered(self, active: Active) -> None:
+        own = f"nodes/{self.env.identity.node_id}"
+        for plan_id, entry in active.plans.items():
+            if own not in entry["objects"] or self._has_left:
+                continue
+            stored, _ = await self.store.read(plan_id)
+            step = stored.plan.next_step()
+            if step is not None and step.state == "running":
+                self._has_left = True
+                await self.on_leave()
+
+    def _log(self, event: str, level: int = logging.INFO, **fields: Any) -> None:
+        log_event(self.env.logger, event, level=level, **fields)
+
+
+def _safe_state(plan: Plan) -> str:
+    """Describe what is in force when the plan ends before its last step."""
+    done = sum(step.state == "done" for step in plan.steps)
+    text = f"{done} of {len(plan.steps)} steps done"
+    step = plan.next_step()
+    if step is not None and step.state == "running":
+        text += f", step {step.step_id} may have taken effect"
+    return text + ", no other step started" if step is not None else text
--- /dev/null
+++ b/egretshed/plans/service.py
@@ -0,0 +1,338 @@
+"""Proposing, confirming and controlling plans; any node can do each of these."""
+
+import uuid
+from typing import Any
+
+from egretshed.configuration.schema import Configuration
+from egretshed.environment import Environment
+from egretshed.errors import (
+    InvalidRequest,
+    PlanRefused,
+    TableConflict,
+)
+from egretshed.invariants import require
+from egretshed.logs import log_event
+from egretshed.plans.capacity import calls_by_pool
+from egretshed.plans.executor import PlanExecutor
+from egretshed.plans.intents import (
+    INTENTS,
+    Draft,
+    PlanningContext,
+    load_intents,
+)
+from egretshed.plans.model import (
+    ENDED_STATES,
+    Plan,
+    digest_of,
+    plan_digest,
+)
+from egretshed.plans.store import (
+    Active,
+    StoredPlan,
+    plan_key,
+)
+from egretshed.platform.interface import (
+    ABSENT_VERSION,
+    Condition,
+    Platform,
+)
+from egretshed.records import (
+    Fault,
+    read_record,
+)
+
+CONTROLS = {"pause": "pause", "resume": "", "abort": "abort"}
+RACE_ATTEMPTS = 5
+
+
+class PlanService:
+    """Plans of this system, kept in the table.
+
+    `configuration`, `membership`, `backends` and `slots` are the services of this node.
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        platform: Platform,
+        configuration: Any,
+        membership: Any,
+        backends: Any,
+        slots: Any,
+    ):
+        self.env = env
+        self.platform = platform
+        self.configuration = configuration
+        self.membership = membership
+        self.backends = backends
+        self.slots = slots
+        self.executor = PlanExecutor(env, platform, configuration, membership, backends)
+        self.store = self.executor.store
+
+    async def run(self) -> None:
+        """Execute confirmed plans whenever this node holds the lease; never returns."""
+        await self.executor.run()
+
+    async def stop(self) -> None:
+        """Give up the executor lease, after `run` was cancelled."""
+        await self.executor.stop()
+
+    async def propose(
+        self, intent: str, arguments: dict[str, Any], operator: str
+    ) -> Plan:
+        """Compute and store a plan; nothing in force changes.
+
+        Raises `InvalidRequest`, `NotFound`, `ConfigurationInvalid`, `PlanRefused` or a
+        failure of the table.
+        """
+        load_intents()
+        entry = INTENTS.get(intent)
+        faults: list[Fault] = []
+        checked = read_record(arguments, entry.arguments, "$.arguments", faults)
+        if checked is None:
+            raise InvalidRequest(
+                f"arguments of intent {intent} are invalid",
+                faults=[fault._asdict() for fault in faults],
+            )
+        context = self._context()
+        draft = await entry.draft(context, checked)
+        plan = await self._plan(context, draft, intent, arguments, operator)
+        condition = Condition(plan_key(plan.plan_id), ABSENT_VERSION)
+        return await self.store.write(plan, [condition])
+
+    async def confirm(
+        self, plan_id: str, digest: str, operator: str, accept_low_capacity: bool
+    ) -> Plan:
+        """Put a proposed plan into execution.
+
+        Raises `PlanRefused` with a `reason`: not_proposed, digest_differs,
+        configuration_changed, low_capacity or conflicting_plan.
+        """
+        for _ in range(RACE_ATTEMPTS):
+            stored, active = await self.store.read(plan_id)
+            plan = stored.plan
+            _check_digest(plan, digest)
+            self._check_unchanged(plan)
+            await self._check_capacity(plan, accept_low_capacity)
+            active = self._without_returned(active)
+            _check_conflicts(plan, active, self.configuration.current)
+            try:
+                return await self._activate(
+                    stored, active, operator, accept_low_capacity
+                )
+            except TableConflict:
+                continue
+        raise PlanRefused("too many confirmations at once", reason="raced")
+
+    async def control(self, plan_id: str, action: str, operator: str) -> Plan:
+        """Ask the executor to pause, resume or abort at the next step border."""
+        if action not in CONTROLS:
+            raise InvalidRequest(f"unknown control {action!r}; known: {list(CONTROLS)}")
+        for _ in range(RACE_ATTEMPTS):
+            stored, _ = await self.store.read(plan_id)
+            plan = stored.plan
+            if plan.state in ENDED_STATES or plan.state == "proposed":
+                message = f"plan {plan_id} is {plan.state}"
+                raise PlanRefused(message, reason="not_active", state=plan.state)
+            if plan.control == "abort" and action != "abort":
+                message = f"plan {plan_id} is being aborted"
+                raise PlanRefused(message, reason="aborting")
+            state = "confirmed" if action == "resume" else plan.state
+            plan = plan._replace(control=CONTROLS[action], state=state)
+            try:
+                plan = await self.store.write(plan, [stored.condition()])
+            except TableConflict:
+                continue
+            self._log("plan_controlled", plan, operator, action=action)
+            self.executor.wake()
+            return plan
+        raise PlanRefused(f"plan {plan_id} changes too often", reason="raced")
+
+    async def list(self) -> list[Plan]:
+        return await self.store.list()
+
+    async def show(self, plan_id: str) -> Plan:
+        """Return the plan; raise `NotFound`."""
+        stored, _ = await self.store.read(plan_id)
+        return stored.plan
+
+    def _context(self) -> PlanningContext:
+        return PlanningContext(
+            env=self.env,
+            configuration=self.configuration.current,
+            objects=self.configuration.objects(),
+            weights=self.platform.weights,
+            node_ids=tuple(member.node_id for member in self.membership.heard()),
+        )
+
+    async def _plan(
+        self,
+        context: PlanningContext,
+        draft: Draft,
+        intent: str,
+        arguments: dict[str, Any],
+        operator: str,
+    ) -> Plan:
+        load = await calls_by_pool(
+            self.env, self.backends, context.configuration, draft.least_slots
+        )
+        base_version = context.configuration.version
+        plan = Plan(
+            plan_id=str(uuid.UUID(int=self.env.random.getrandbits(128), version=4)),
+            intent=intent,
+            arguments=arguments,
+            operator=operator,
+            base_version=base_version,
+            objects={
+                id_: digest_of(context.objects.get(id_)) for id_ in draft.reserves
+            },
+            steps=tuple(draft.steps),
+            least_capacity=draft.least_slots,
+            present_load=load,
+            expected_s=round(draft.expected_s, 1),
+            stop_conditions=draft.stop_conditions,
+            domains_out=_domains_out(draft),
+            configuration_version=base_version,
+        )
+        return plan._replace(digest=plan_digest(plan))
+
+    def _check_unchanged(self, plan: Plan) -> None:
+        version = self.configuration.current.version
+        if version == plan.base_version:
+            return
+        objects = self.configuration.objects()
+        differing = sorted(
+            id_
+            for id_, digest in plan.objects.items()
+            if digest_of(objects.get(id_)) != digest
+        )
+        raise PlanRefused(
+            "the configuration has changed since the plan was computed",
+            reason="configuration_changed",
+            differences={
+                "planned_version": plan.base_version,
+                "version": version,
+                "objects": differing,
+            },
+        )
+
+    async def _check_capacity(self, plan: Plan, accepted: bool) -> None:
+        if accepted:
+            return
+        configuration = self.configuration.current
+        load = await calls_by_pool(
+            self.env, self.backends, configuration, plan.least_capacity
+        )
+        low = sorted({*plan.low_pools(plan.present_load), *plan.low_pools(load)})
+        if low:
+            raise PlanRefused(
+                f"too little capacity in {', '.join(low)}",
+                reason="low_capacity",
+                least_capacity={pool: plan.least_capacity[pool] for pool in low},
+                load={pool: load.get(pool, 0) for pool in low},
+            )
+
+    def _without_returned(self, active: Active) -> Active:
+        """Leave out domains that a later change has returned to service."""
+        current = self.configuration.current
+        kept = {}
+        for name, entry in active.domains_out.items():
+            domain = current.failure_domains.get(name)
+            is_out = domain is not None and domain.out
+            if is_out or entry["plan_id"] in active.plans:
+                kept[name] = entry
+            elif current.version < entry["version"]:
+                kept[name] = entry
+        return active._replace(domains_out=kept)
+
+    async def _activate(
+        self, stored: StoredPlan, active: Active, operator: str, low_capacity: bool
+    ) -> Plan:
+        plan = stored.plan._replace(
+            state="confirmed", confirmed_by=operator, accepts_low_capacity=low_capacity
+        )
+        entry = {
+            "intent": plan.intent,
+            "operator": operator,
+            "objects": sorted(plan.objects),
+        }
+        out = {
+            name: {"plan_id": plan.plan_id, "version": plan.base_version + 1}
+            for name in plan.domains_out
+        }
+        after = active._replace(
+            plans={**active.plans, plan.plan_id: entry},
+            domains_out={**active.domains_out, **out},
+        )
+        require(self.env, len(after.domains_out) <= 1, "P3_one_failure_domain_out")
+        conditions = [stored.condition(), active.condition()]
+        plan = await self.store.write(plan, conditions, (after.write(),))
+        self._log("plan_confirmed", plan, operator, intent=plan.intent)
+        self.executor.wake()
+        return plan
+
+    def _log(self, event: str, plan: Plan, operator: str, **fields: Any) -> None:
+        log_event(
+            self.env.logger, event, plan_id=plan.plan_id, operator=operator, **fields
+        )
+
+
+def _check_digest(plan: Plan, digest: str) -> None:
+    if plan.state != "proposed":
+        raise PlanRefused(
+            f"plan {plan.plan_id} is {plan.state} already",
+            reason="not_proposed",
+            state=plan.state,
+        )
+    if digest != plan.digest or plan_digest(plan) != digest:
+        raise PlanRefused(
+            "the digest is not that of the plan",
+            reason="digest_differs",
+            differences={"given": digest, "plan": plan.digest},
+        )
+
+
+def _check_conflicts(plan: Plan, active: Active, current: Configuration) -> None:
+    for other_id, entry in active.plans.items():
+        shared = sorted(set(entry["objects"]) & set(plan.objects))
+        if shared:
+            _refuse_conflict(other_id, entry["operator"], ", ".join(shared))
+    if not plan.domains_out:
+        return
+    out = {name: entry["plan_id"] for name, entry in active.domains_out.items()}
+    for name, domain in current.failure_domains.items():
+        if domain.out:
+            out.setdefault(name, "")
+    for name, other_id in out.items():
+        if name not in plan.domains_out:
+            what = f"failure domain {name} is out"
+            operator = active.plans.get(other_id, {}).get("operator", "")
+            _refuse_conflict(other_id, operator, what)
+
+
+def _refuse_conflict(other_id: str, operator: str, what: str) -> None:
+    raise PlanRefused(
+        f"conflicts with plan {other_id or '(none)'}: {what}",
+        reason="conflicting_plan",
+        conflicting_plan=other_id,
+        conflicting_operator=operator,
+    )
+
+
+def _domains_out(draft: Draft) -> tuple[str, ...]:
+    """Return the failure domains that the steps take out; at most one."""
+    names = {
+        object_id.partition("/")[2]
+        for step in draft.steps
+        if step.action == "configuration"
+        for object_id, body in step.arguments["changes"].items()
+        if object_id.startswith("failure_domains/")
+        and body
+        and body.get("out")
+        and not (step.arguments["before"][object_id] or {}).get("out")
+    }
+    if len(names) > 1:
+        raise PlanRefused(
+            "a plan takes out at most one failure domain", reason="two_domains_out"
+        )
+    return tuple(names)
--- a/egretshed/settings/load.py
+++ b/egretshed/settings/load.py
@@ -66,6 +66,14 @@
         faults.append(
             Fault("$.slots.take_over_wait_s", "must be longer than loan_duration_s")
         )
+    if settings.plans.order_timeout_s * 2 > settings.plans.lease_s:
+        faults.append(
+            Fault(
+                "$.plans.order_timeout_s",
+                "must be at most half of lease_s, since an order is sent only while "
+                "the lease outlasts it",
+            )
+        )
     if not settings.peers.keys or not all(settings.peers.keys):
         faults.append(Fault("$.peers.keys", "needs at least one non-empty key"))
     if not settings.node.node_id:
--- a/egretshed/settings/schema.py
+++ b/egretshed/settings/schema.py
@@ -96,6 +96,17 @@
     freshness_limit_s: float = 4.0
 
 
+class PlanSettings(NamedTuple):
+    """Execution of plans; a successor waits `lease_s` plus `order_timeout_s`."""
+
+    lease_s: float = 6.0
+    order_timeout_s: float = 2.0
+    step_period_s: float = 0.5
+    idle_poll_s: float = 2.0
+    wait_limit_s: float = 120.0
+    order_attempts: int = 5
+
+
 class ShutdownSettings(NamedTuple):
     limit_s: float = 30.0
 
@@ -115,5 +126,6 @@
     streams: StreamSettings = StreamSettings()
     http: HttpSettings = HttpSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    plans: PlanSettings = PlanSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     log_level: str = "INFO"
--- a/egretshed/settings/tests/settings.feature
+++ b/egretshed/settings/tests/settings.feature
@@ -14,6 +14,7 @@
       | zero duration          | slots.loan_duration_s         | 0       | $.slots.loan_duration_s |
       | renewal too rare       | slots.renew_period_s          | 1.9     | $.slots.renew_period_s  |
       | take-over too early    | slots.take_over_wait_s        | 0.5     | $.slots.take_over_wait_s |
+      | lease under an order   | plans.order_timeout_s         | 3.5     | $.plans.order_timeout_s |
       | no peer key            | peers.keys                    | []      | $.peers.keys            |
       | section is not object  | peers                         | 3       | $.peers                 |
 
