--- /dev/null
+++ b/egretshed/cli/environment.py
@@ -0,0 +1,30 @@
+"""What the command-line tool is given, so that tests can pass their own."""
+
+import sys
+import time
+from collections.abc import (
+    Callable,
+    Mapping,
+)
+from typing import (
+    NamedTuple,
+    TextIO,
+)
+
+from tornado.httpclient import AsyncHTTPClient
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+
+class CliEnvironment(NamedTuple):
+    """`now` gives seconds of a monotonic clock; `variables` is the process's own."""
+
+    stdout: TextIO
+    stderr: TextIO
+    http: AsyncHTTPClient
+    now: Callable[[], float]
+    variables: Mapping[str, str]
+
+
+def system_environment(variables: Mapping[str, str]) -> CliEnvironment:
+    http = SimpleAsyncHTTPClient(force_instance=True)
+    return CliEnvironment(sys.stdout, sys.stderr, http, time.monotonic, variables)
--- /dev/null
+++ b/egretshed/operators/views.py
@@ -0,0 +1,82 @@
+"""What operators are shown of a node, as JSON objects."""
+
+from typing import Any
+
+from egretshed.configuration.schema import (
+    ObjectBody,
+    ObjectId,
+)
+from egretshed.records import to_object
+
+
+def status_view(services: Any) -> dict[str, Any]:
+    identity = services.env.identity
+    configuration = services.configuration
+    return {
+        "node_id": identity.node_id,
+        "incarnation": identity.incarnation,
+        "failure_domain": identity.failure_domain,
+        "region": identity.region,
+        "configuration_version": configuration.current.version,
+        "configuration_is_fresh": configuration.is_fresh(),
+        "membership_is_settled": services.membership.is_settled(),
+        "nodes_heard": len(services.membership.heard()),
+        "nodes_listed": len(services.membership.listed()),
+        "failure_domains_out": sorted(
+            name
+            for name, domain in configuration.current.failure_domains.items()
+            if domain.out
+        ),
+        "replicas_owned": len(services.slots.owned()),
+    }
+
+
+def node_views(services: Any) -> list[dict[str, Any]]:
+    """Return heard and listed nodes; the state is that of this node's view."""
+    listed = {vm.node_id: vm for vm in services.membership.listed()}
+    heard = {member.node_id: member for member in services.membership.heard()}
+    views = []
+    for node_id in sorted({*listed, *heard}):
+        node = heard.get(node_id) or listed[node_id]
+        status = getattr(heard.get(node_id), "status", None)
+        views.append(
+            {
+                "node_id": node_id,
+                "failure_domain": getattr(node, "failure_domain", ""),
+                "region": getattr(node, "region", ""),
+                "listed": node_id in listed,
+                "heard": node_id in heard,
+                "status": getattr(status, "name", str(status or "not heard")),
+            }
+        )
+    return views
+
+
+def replica_views(services: Any) -> list[dict[str, Any]]:
+    """Return every declared replica with this node's loans of it."""
+    configuration = services.configuration.current
+    views = []
+    for pool_name, pool in sorted(configuration.pools.items()):
+        for replica in pool.replicas:
+            view = services.slots.borrower.view(replica.replica_id)
+            views.append(
+                {
+                    "replica_id": replica.replica_id,
+                    "pool": pool_name,
+                    "failure_domain": replica.failure_domain,
+                    "in_service": configuration.is_in_service(replica),
+                    **to_object(view),
+                }
+            )
+    return views
+
+
+def difference(
+    before: dict[ObjectId, ObjectBody], after: dict[ObjectId, ObjectBody]
+) -> list[dict[str, Any]]:
+    """Return one record per object that differs."""
+    return [
+        {"object": id_, "before": before.get(id_), "after": after.get(id_)}
+        for id_ in sorted({*before, *after})
+        if before.get(id_) != after.get(id_)
+    ]
--- a/egretshed/plans/service.py
+++ b/egretshed/plans/service.py
@@ -149,7 +149,7 @@
         raise PlanRefused(f"plan {plan_id} changes too often", reason="raced")
 
     async def list(self) -> list[Plan]:
-        return await self.store.list()
+        return await self.store.all_plans()
 
     async def show(self, plan_id: str) -> Plan:
         """Return the plan; raise `NotFound`."""
--- a/egretshed/plans/store.py
+++ b/egretshed/plans/store.py
@@ -89,7 +89,7 @@
             rows.get(ACTIVE_KEY)
         )
 
-    async def list(self) -> list[Plan]:
+    async def all_plans(self) -> list[Plan]:
         plans: list[Plan] = []
         after = ""
         while True:
