--- a/egretshed/callers/events.py
+++ b/egretshed/callers/events.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from itertools import chain
 from typing import Any
 
 import msgspec
@@ -37,6 +38,8 @@
 FETCH_TIMEOUT_S = 2.0
 FETCH_ATTEMPTS = 3
 MAX_OUTCOME_PEERS = 16
+# Only operators' questions use it; a caller's always names its customer.
+ANY_CUSTOMER = ""
 
 
 class StreamLost(EgretshedError):
@@ -131,12 +134,41 @@
         self, customer_id: str, request_id: str, node_ids: list[str]
     ) -> dict[str, Any] | None:
         """Ask up to MAX_OUTCOME_PEERS nodes for a request's outcome."""
+        found = await self._ask_peers(customer_id, request_id, node_ids)
+        return found[0] if found else None
+
+    async def outcomes_of_any_customer(
+        self, request_id: str, node_ids: list[str]
+    ) -> list[dict[str, Any]]:
+        """Return what this node and its peers remember of a request id, for operators.
+
+        Each record has `customer_id`, `node_id` and the outcome's fields.
+        """
+        replies = await self._ask_peers(ANY_CUSTOMER, request_id, node_ids)
+        return self._local_of_any_customer(request_id) + list(chain(*replies))
+
+    def _local_of_any_customer(self, request_id: str) -> list[dict[str, Any]]:
+        node_id = self.env.identity.node_id
+        return [
+            {
+                **self.local_outcome(stream.customer_id, request_id),
+                "customer_id": stream.customer_id,
+                "node_id": node_id,
+            }
+            for stream in self.runner.store.find_any_customer(request_id)
+        ]
+
+    async def _ask_peers(
+        self, customer_id: str, request_id: str, node_ids: list[str]
+    ) -> list[Any]:
         query = OutcomeQuery(customer_id, request_id)
         calls = [self.peers.call(n, query) for n in node_ids[:MAX_OUTCOME_PEERS]]
-        for reply in await asyncio.gather(*calls, return_exceptions=True):
-            if isinstance(reply, OutcomeReply) and reply.known:
-                return msgspec.json.decode(reply.body)
-        return None
+        replies = await asyncio.gather(*calls, return_exceptions=True)
+        return [
+            msgspec.json.decode(reply.body)
+            for reply in replies
+            if isinstance(reply, OutcomeReply) and reply.known
+        ]
 
     def local_outcome(self, customer_id: str, request_id: str) -> dict | None:
         stream = self.runner.store.find_request(customer_id, request_id)
@@ -189,8 +221,11 @@
         return Ack()
 
     async def _on_outcome(self, sender: Sender, query: OutcomeQuery) -> OutcomeReply:
-        outcome = self.local_outcome(query.customer_id, query.request_id)
-        if outcome is None:
+        if query.customer_id == ANY_CUSTOMER:
+            outcome = self._local_of_any_customer(query.request_id)
+        else:
+            outcome = self.local_outcome(query.customer_id, query.request_id)
+        if not outcome:
             return OutcomeReply(False, None)
         return OutcomeReply(True, msgspec.json.encode(outcome))
 
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -16,7 +16,6 @@
 from egretshed.callers.handlers import (
     CallerServices,
     caller_routes,
-    find_outcome,
 )
 from egretshed.callers.health import (
     UnknownPathHandler,
@@ -36,7 +35,7 @@
 )
 from egretshed.membership.service import MembershipService
 from egretshed.metrics import Metrics
-from egretshed.operators.handlers import (
+from egretshed.operators.routes import (
     OperatorServices,
     operator_routes,
 )
@@ -143,8 +142,10 @@
             keys=CustomerKeys(self.configuration),
         )
 
-        async def outcomes(customer_id: str, request_id: str) -> Any:
-            return await find_outcome(callers, customer_id, request_id)
+        async def outcomes(request_id: str) -> list[dict[str, Any]]:
+            own = self.env.identity.node_id
+            others = [m.node_id for m in self.membership.heard() if m.node_id != own]
+            return await self.streams.outcomes_of_any_customer(request_id, others)
 
         operators = OperatorServices(
             env=self.env,
