--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -28,6 +28,7 @@
 from bench.processes import (
     ManagedProcess,
     free_ports,
+    stop_all,
 )
 from egretshed.clock import SystemClock
 from egretshed.platform.interface import ListedVm
@@ -103,13 +104,7 @@
 
     async def stop(self, limit_s: float = STOP_LIMIT_S) -> dict[str, int]:
         """Stop all processes; return the nodes' exit codes."""
-        for process in self.processes.values():
-            process.signal(signal.SIGCONT)
-            process.signal(signal.SIGTERM)
-        exits = {
-            name: await process.stop(limit_s)
-            for name, process in self.processes.items()
-        }
+        exits = await stop_all(self.processes, limit_s)
         self.processes.clear()
         if self.standins is not None:
             await self.standins.stop(CONTROL_LIMIT_S)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -25,6 +25,7 @@
         self.clock = clock
         self.name = name
         self.log = log
+        self._asked = False
         with log.open("ab") as output:
             self.process = subprocess.Popen(
                 command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
@@ -43,7 +44,21 @@
 
     async def stop(self, limit_s: float) -> int:
         """Ask the process to end; kill it after `limit_s`. Return the exit code."""
-        self.signal(signal.SIGTERM)
+        self.ask_to_stop()
+        return await self.until_ended(limit_s)
+
+    def ask_to_stop(self) -> None:
+        """Send SIGTERM, at most once: the daemon takes a second one as an order to cut.
+
+        A paused process goes on first.
+        """
+        if not self._asked:
+            self._asked = True
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+
+    async def until_ended(self, limit_s: float) -> int:
+        """Return the exit code; kills the process after `limit_s`."""
         status = await self.wait(limit_s)
         return await self.kill() if status is None else status
 
@@ -65,6 +80,17 @@
         return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
 
 
+async def stop_all(
+    processes: dict[str, ManagedProcess], limit_s: float
+) -> dict[str, int]:
+    """Ask all processes to end at once; return their exit codes by name."""
+    for process in processes.values():
+        process.ask_to_stop()
+    return {
+        name: await process.until_ended(limit_s) for name, process in processes.items()
+    }
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that are free now, held together so that they differ."""
     held = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
