--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -1,6 +1,9 @@
 """Chooses a replica for each stage call, takes its slot and learns from the result."""
 
 import asyncio
+from collections import Counter
+
+import xxhash
 
 from egretshed.backends.interface import BackendResult
 from egretshed.configuration.schema import (
@@ -40,6 +43,10 @@
 )
 
 CACHE_EVENTS_PERIOD_S = 1.0
+# Replicas of one pool that a node uses while they have slots. Each replica in use costs
+# a renewal per period, so the cost must not grow with the pool.
+PART_REPLICAS = 8
+MAX_DOUBLINGS = 10
 
 
 class Router:
@@ -55,6 +62,7 @@
         self._policy = POLICIES.get(env.settings.routing.policy)()
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
+        self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
 
     def choose(self, call: StageCall) -> RoutingDecision:
         """Return a decision that holds a slot; raise `NoReplicaAvailable` if none."""
@@ -149,6 +157,7 @@
                 lost[replica.replica_id] = reason
             else:
                 usable.append(self._candidate(call, pool, replica))
+        usable = self._own_part(call, usable, lost)
         if not usable:
             return Ranking([], lost)
         scored = self._policy.rank(call, usable, self.env.random)
@@ -157,6 +166,21 @@
         )
         return Ranking(scored, lost)
 
+    def _own_part(
+        self, call: StageCall, usable: list[Candidate], lost: dict[str, str]
+    ) -> list[Candidate]:
+        """Keep this node's part of a large pool, doubled by each call not placed."""
+        size = PART_REPLICAS << min(self._short[call.pool], MAX_DOUBLINGS)
+        if len(usable) <= size:
+            return usable
+        own = self.env.identity.node_id
+        ordered = sorted(
+            usable, key=lambda item: _digest(f"{own}/{item.replica.replica_id}")
+        )
+        for item in ordered[size:]:
+            lost[item.replica.replica_id] = "other_part"
+        return ordered[:size]
+
     def _why_not(self, call: StageCall, replica: Replica) -> str:
         """Return why the replica may not get this call, or an empty string."""
         configuration = self.configuration.current
@@ -194,6 +218,7 @@
             if slot is None:
                 ranking.lost[replica.replica_id] = "no_slot"
                 continue
+            self._short[call.pool] = max(0, self._short[call.pool] - 1)
             return RoutingDecision(
                 call=call,
                 replica=replica,
@@ -203,6 +228,7 @@
                 decided_s=self.env.clock.monotonic_s(),
                 is_trial=self._circuit(replica).note_start(),
             )
+        self._short[call.pool] = min(MAX_DOUBLINGS, self._short[call.pool] + 1)
         return None
 
     def _take(self, call: StageCall, replica: Replica) -> Slot | None:
@@ -243,3 +269,7 @@
         for known in (self._circuits, self._times):
             for replica_id in known.keys() - declared:
                 del known[replica_id]
+
+
+def _digest(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/egretshed/routing/tests/routing.feature
@@ -0,0 +1,164 @@
+Feature: Each call goes to a replica that can take it, and the choice is explained
+
+  Scenario Outline: Filter guards against work on a replica that is <state>
+    Given a router with policy "predictive" over 3 replicas
+    And replica p-0 is <state>
+    When a call is routed 9 times
+    Then p-0 is never chosen and its log line says "<lost>"
+
+    Examples:
+      | state             | lost          |
+      | in an out domain  | domain_out    |
+      | draining          | draining      |
+      | leaving           | leaving       |
+      | without slots     | no_slot       |
+      | failing           | failing       |
+      | tried before      | excluded      |
+
+  Scenario: A stale configuration guards against work in a domain that is out
+    Given a router with policy "predictive" over 3 replicas
+    And the configuration is not fresh
+    When a call is routed
+    Then it is refused because of "configuration_stale"
+
+  Scenario: A refusal asks for slots
+    Guards against a call that waits for slots that nobody requested.
+    Given a router with policy "predictive" over 3 replicas
+    And replica p-0 is without slots
+    And replica p-1 is without slots
+    And replica p-2 is without slots
+    When a call is routed
+    Then it is refused because of "no_slot"
+    And slots were asked for on 3 replicas
+
+  Scenario Outline: Policy <policy> guards against all calls on one replica
+    Given a router with policy "<policy>" over 3 replicas
+    When 90 calls are routed and end
+    Then each replica got from <least> to <most> calls
+
+    Examples:
+      | policy       | least | most |
+      | random       | 18    | 45   |
+      | round_robin  | 30    | 30   |
+      | least_loaded | 18    | 45   |
+      | predictive   | 18    | 45   |
+
+  Scenario Outline: Prediction guards against <failure>
+    Given a router with policy "predictive" over 2 replicas
+    And all calls had a first token after 0.2 s
+    And p-0 is "<first>" and p-1 is "<second>"
+    When a call is routed
+    Then p-0 is <chosen>
+
+    Examples:
+      | failure                                   | first           | second         | chosen     |
+      | a cached prefix not being used            | cached          | plain          | chosen     |
+      | a popular prefix overloading its replica  | cached load=6   | plain          | not chosen |
+      | a full replica chosen over an idle one    | load=5          | load=0         | not chosen |
+      | needless traffic between failure domains  | plain           | far            | chosen     |
+      | distance outweighing load                 | load=6          | far            | not chosen |
+      | a slow replica chosen over a fast one     | slow            | plain          | not chosen |
+
+  Scenario Outline: Two choices guard against <failure>
+    Given a router with policy "least_loaded" over 2 replicas
+    And p-0 is "<first>" and p-1 is "<second>"
+    When a call is routed
+    Then p-0 is <chosen>
+
+    Examples:
+      | failure                      | first  | second | chosen     |
+      | the fuller replica of a pair | load=5 | load=1 | not chosen |
+      | counting calls, not capacity | load=3 | load=2 limit=2 | chosen |
+
+  Scenario Outline: Signs of coldness guard against <failure>
+    Given a router with policy "predictive" over 1 replicas
+    And all calls had a first token after 0.2 s
+    When a call ends with <end>
+    Then the slot is released and the server <seems>
+
+    Examples:
+      | failure                                 | end                        | seems             |
+      | load on a server that reloads weights   | a first token after 3 s    | seems cold        |
+      | a cold limit after ordinary jitter      | a first token after 0.4 s  | does not seem cold |
+      | load on a server that refuses work      | a rejection                | seems cold        |
+      | load on a server that lost its cache    | nothing cached as expected | seems cold        |
+      | a cold limit for a prefix never cached  | nothing cached, unexpected | does not seem cold |
+      | a cold limit after a lost connection    | a lost connection          | does not seem cold |
+      | a slot lost by a cancelled call         | a cancellation             | does not seem cold |
+
+  Scenario: A server that is slow for good does not seem cold for good
+    Guards against a limit that never rises after a change of model.
+    Given a router with policy "predictive" over 1 replicas
+    And all calls had a first token after 0.2 s
+    When 10 calls in a row have a first token after 2 s
+    Then the last of them does not seem cold
+
+  Scenario Outline: The circuit guards against <failure>
+    Given a router with policy "predictive" over 1 replicas
+    When calls end with "<ends>"
+    And <seconds> s pass
+    Then <allowed> of 2 calls at once are placed
+
+    Examples:
+      | failure                              | ends                       | seconds | allowed |
+      | giving up after one error            | error error                | 0       | 2       |
+      | calls wasted on a dead server        | error error error          | 0.4     | 0       |
+      | a crowd of calls on a weak server    | error error error          | 0.6     | 1       |
+      | a server put aside after it is well  | error error ok error error | 0       | 2       |
+
+  Scenario: The pause doubles with each failed trial
+    Guards against steady trial calls to a server that is down for long.
+    Given a router with policy "predictive" over 1 replicas
+    When calls end with "error error error"
+    And 0.6 s pass
+    And calls end with "error"
+    And 0.6 s pass
+    Then 0 of 2 calls at once are placed
+
+  Scenario: A cancelled trial lets another one go out
+    Guards against a replica put aside for good.
+    Given a router with policy "predictive" over 1 replicas
+    When calls end with "error error error"
+    And 0.6 s pass
+    And calls end with "cancelled"
+    Then 1 of 2 calls at once are placed
+
+  Scenario Outline: Cache hints guard against <failure>
+    When a replica's cache events are "<events>"
+    Then the match of "<prefix>" is <match>
+
+    Examples:
+      | failure                          | events             | prefix | match |
+      | a prefix that was evicted        | 1+abcd 2-abcd      | abcd   | 0     |
+      | a removal lost in a gap          | 1+abcd 3+xy        | abcd   | 0     |
+      | an old event applied twice       | 1+abcd 2-abcd 1+abcd | abcd | 0     |
+      | a partial match counted as whole | 1+abcd             | abxy   | 0.5   |
+
+  Scenario: Cache hints stay within their size
+    Guards against memory that grows with the number of prompts.
+    When a replica's cache events name 1000 prefixes
+    Then at most 256 are kept and the newest is matched
+
+  Scenario: A decision writes one line with everything that it was based on
+    Guards against decisions that nobody can explain later.
+    Given a router with policy "predictive" over 3 replicas
+    When a call is routed
+    Then one routing_decision line names the request, the choice and the candidates
+    And the counter of stage "generate" and the chosen replica is 1
+
+  Scenario: Waiting for a slot ends when one is released
+    Guards against a call that waits although a slot is free.
+    Given a router with policy "predictive" over 1 replicas
+    When a call waits up to 5 s and a slot becomes free after 1 s
+    Then it is placed after 1 s
+
+  Scenario Outline: The part of a large pool guards against <failure>
+    Given a router with policy "predictive" over 40 replicas
+    And the part of this node <has> slots
+    When 60 calls are routed and end
+    Then <least> to <most> replicas were used
+
+    Examples:
+      | failure                                  | has    | least | most |
+      | renewals that grow with the pool         | has    | 2     | 8    |
+      | a node idle while others have free slots | has no | 2     | 32   |
--- a/egretshed/slots/tests/fuzz_slots.py
+++ b/egretshed/slots/tests/fuzz_slots.py
@@ -26,12 +26,12 @@
 COLD_SLOTS = 2
 WARM_SLOTS = 6
 WARM_UP_CALLS = 4
-LONGEST_S = 3.0
+LONGEST_S = 8.0
 # Take-over wait less loan duration: the time within which all views follow the network.
 DETECTION_S = 3.5
 # Report lag, poll period, tick and loan duration, with a margin for the margins.
 COLD_KNOWN_S = 0.2 + 0.5 + 0.25 + 2.0 + 0.1
-WORKERS = 3
+DURATIONS_S = (0.3, 2.0, LONGEST_S - 0.1)
 nodes = st.sampled_from(IDS)
 
 
@@ -86,7 +86,7 @@
         self.calls = [
             self.loop.create_task(self.keep_calling(node, number))
             for node in self.nodes.values()
-            for number in range(WORKERS)
+            for number in range(len(DURATIONS_S))
         ]
         await self.clock.advance(8)
 
@@ -122,7 +122,7 @@
 
     async def keep_calling(self, node, number):
         """Offer calls all the time, of a length that differs by worker."""
-        duration_s = 0.1 + LONGEST_S * number / (2 * WORKERS)
+        duration_s = DURATIONS_S[number]
         for count in itertools.count():
             attempt_id = f"{node.node_id}/{number}/{count}"
             if node.node_id in self.busy:
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -57,6 +57,22 @@
       | a server that turns cold by itself      | warm cold                                 | 2     |
       | warming while the server says cold      | cold calls=1 calls=9                      | 2     |
 
+  Scenario Outline: The ledger guards against <failure>
+    Given a ledger whose borrower runs calls of up to 3 s
+    When it sees "<steps>"
+    Then it counts <committed> slots as committed
+
+    Examples:
+      | failure                                    | steps                                        | committed |
+      | a late report freeing slots of new calls   | report:2:0:3 report:1:0:0                    | 3         |
+      | an unconfirmed lower grant counted as used | report:1:0:0 lend:4 lend:1                   | 4         |
+      | confirmed grants kept for ever             | report:1:0:0 lend:4 lend:1 confirm:2:1:0     | 1         |
+      | running calls lost by a lower grant        | report:1:0:0 lend:4 lend:1 confirm:2:1:3     | 3         |
+      | slots of another owner's loan lent again   | report:1:2:0                                 | 2         |
+      | calls that outlive an expired loan         | report:1:0:0 lend:4 wait:4.9                 | 4         |
+      | slots of a dead borrower lost for ever     | report:1:0:0 lend:4 wait:5.1                 | 0         |
+      | lending more while calls exceed the limit  | report:1:0:5 lend:2 other:1                  | 5         |
+
   Scenario: A dead borrower's slots are not lent while its calls may run
     Guards against lending slots of calls that outlive their borrower.
     Given 3 nodes that share a warm server
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -7,7 +7,9 @@
 )
 
 from egretshed.backends.interface import LoadReport
+from egretshed.gen.messages.ttypes import LoanDemand
 from egretshed.slots.division import divide
+from egretshed.slots.ledger import ReplicaLedger
 from egretshed.slots.records import (
     BorrowerId,
     CallObservation,
@@ -18,6 +20,7 @@
 )
 from egretshed.slots.warmth import Warmth
 from standins.clock import ManualClock
+from standins.environments import make_environment
 from standins.fake_backends import FakeServer
 from standins.fake_membership import (
     FakeShare,
@@ -112,6 +115,61 @@
     assert context.warmth.limit(context.pool) == limit, context.warmth.state
 
 
+@given("a ledger whose borrower runs calls of up to {longest_s:d} s")
+def ledger(context, longest_s):
+    context.longest_ms = longest_s * 1000
+    context.clock = ManualClock()
+    context.ledger = ReplicaLedger(make_environment(context.clock), "p-0")
+    context.now_s = 0.0
+
+
+@when('it sees "{steps}"')
+def ledger_sees(context, steps):
+    for step in steps.split():
+        name, *numbers = step.split(":")
+        LEDGER_STEPS[name](context, *map(float, numbers))
+
+
+def ledger_report(context, sequence, held, running, loan_id=0, node_id="b"):
+    demand = LoanDemand("p-0", 9, int(held), int(running), context.longest_ms)
+    demand.loan_id = loan_id
+    borrower = BorrowerId(node_id, 1)
+    context.ledger.report(borrower, demand, int(sequence), context.now_s)
+
+
+def ledger_lend(context, amount, node_id="b"):
+    borrower = BorrowerId(node_id, 1)
+    context.grant = context.ledger.lend(borrower, int(amount), 0, context.now_s)
+
+
+def ledger_confirm(context, sequence, held, running):
+    ledger_report(context, sequence, held, running, context.grant.loan_id)
+
+
+def ledger_other(context, amount):
+    ledger_report(context, 1, 0, 0, node_id="other")
+    ledger_lend(context, amount, node_id="other")
+
+
+def ledger_wait(context, seconds):
+    context.now_s += seconds
+
+
+LEDGER_STEPS = {
+    "report": ledger_report,
+    "lend": ledger_lend,
+    "confirm": ledger_confirm,
+    "other": ledger_other,
+    "wait": ledger_wait,
+}
+
+
+@then("it counts {count:d} slots as committed")
+def ledger_counts(context, count):
+    committed = context.ledger.committed(context.now_s)
+    assert committed == count, context.ledger.loans
+
+
 @given("{count:d} nodes that share a {state} server")
 def nodes_share(context, count, state):
     context.loop = asyncio.new_event_loop()
