--- a/egretshed/slots/tests/fuzz_slots.py
+++ b/egretshed/slots/tests/fuzz_slots.py
@@ -95,6 +95,11 @@
         for task in [*self.calls, *(node.task for node in self.nodes.values())]:
             if task.done() and not task.cancelled() and task.exception():
                 raise task.exception()
+        for node in self.nodes.values():
+            name = "egretshed_invariant_violations_total"
+            families = node.env.metrics.registry.collect()
+            samples = [s for family in families for s in family.samples]
+            assert not any(s.name == name and s.value for s in samples), node.node_id
 
     def later(self, delay_s, change):
         async def wait():
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -82,6 +82,27 @@
     When 4 s pass
     Then the owner counts 0 slots as committed
 
+  Scenario: A new owner subtracts the calls that an earlier owner left running
+    Guards against a server that gets the limit of both owners.
+    Given 3 nodes that share a warm server
+    And calls may last 9 s
+    When the owner runs 4 calls of 9 s
+    And the owner dies and the others notice
+    And 5.9 s pass
+    Then the new owner lends 0 slots
+    When 1.1 s pass
+    Then the new owner lends 2 slots
+    When 10 s pass
+    Then the new owner lends 6 slots
+
+  Scenario: An owner that was paused lends nothing when it resumes
+    Guards against two owners, since another one may have taken over meanwhile.
+    Given 3 nodes that share a warm server
+    When the owner is paused for 3 s
+    Then the owner lends 0 slots
+    When 6.5 s pass
+    Then the owner lends 6 slots
+
   Scenario: A cold sign revokes loans at once
     Guards against a borrower that goes on until its loan expires.
     Given 3 nodes that share a warm server
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -235,6 +235,43 @@
     assert len(context.server.calls) == count, context.server.calls
 
 
+@given("calls may last {longest_s:d} s")
+def calls_last(context, longest_s):
+    kinds = context.configuration.kinds
+    change(context, kinds={"k": kinds["k"]._replace(deadline_s=longest_s)})
+
+
+@when("the owner dies and the others notice")
+def owner_dies(context):
+    context.owner.task.cancel()
+    context.network.detach(context.owner.node_id)
+    alive = {node.node_id for node in context.nodes} - {context.owner.node_id}
+    for node in context.nodes:
+        node.membership.heard_ids = alive
+        node.membership.listed_ids = sorted(alive)
+    run(context, context.clock.advance(0))
+
+
+@when("the owner is paused for {seconds:g} s")
+def owner_pauses(context, seconds):
+    context.owner.pause()
+    run(context, context.clock.advance(seconds))
+    context.owner.resume()
+    run(context, context.clock.advance(0))
+
+
+@then("the {which} lends {count:d} slots")
+def may_lend(context, which, count):
+    (owned,) = [
+        owned
+        for node in context.nodes
+        if not node.task.done()
+        for owned in node.service.owned()
+    ]
+    may = max(0, owned.lendable - owned.foreign)
+    assert may == count, owned
+
+
 @when("{seconds:g} s pass")
 def pass_time(context, seconds):
     run(context, context.clock.advance(seconds))
