Add borrower scenarios and rows for mutations that passed

Cause: four mutations (later expiry, old ids, unsettled owner, cold report) passed. Change: scenarios for the borrower's record and an unsettled owner; one warmth row.

--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -55,7 +55,7 @@
       | doubled counts of calls                 | warm cold_sign warm calls=1 calls=3 calls=3 | 4   |
       | an old cold report after warming        | warm old_cold                             | 6     |
       | a server that turns cold by itself      | warm cold                                 | 2     |
-      | warming while the server says cold      | cold calls=1 calls=9                      | 2     |
+      | warming while the server says cold      | cold calls=1 calls=9 calls=11             | 2     |
 
   Scenario Outline: The ledger guards against <failure>
     Given a ledger whose borrower runs calls of up to 3 s
@@ -73,6 +73,20 @@
       | slots of a dead borrower lost for ever     | report:1:0:0 lend:4 wait:5.1                 | 0         |
       | lending more while calls exceed the limit  | report:1:0:5 lend:2 other:1                  | 5         |
 
+  Scenario Outline: The borrower guards against <failure>
+    When a borrower sees "<steps>"
+    Then it has <free> free slots at <now> s
+
+    Examples:
+      | failure                                 | steps                              | now  | free |
+      | a loan that ends too early              | reply:0:1:3                        | 1.9  | 3    |
+      | a loan counted from its reply           | reply:0:1:3                        | 2.0  | 0    |
+      | an old reply that undoes a revocation   | reply:0:1:3 lower:3:1 reply:0:2:3  | 0.5  | 1    |
+      | a revocation that extends the loan      | reply:0:1:3 lower:2:1              | 2.0  | 0    |
+      | a late revocation of an older loan      | reply:0:5:3 lower:2:1              | 0.5  | 3    |
+      | an unasked reply that lends more        | reply:0:1:3 lower:2:9              | 0.5  | 3    |
+      | a new owner's empty reply ending a loan | reply:0:1:3 other:0.1:9:0          | 0.5  | 3    |
+
   Scenario: A dead borrower's slots are not lent while its calls may run
     Guards against lending slots of calls that outlive their borrower.
     Given 3 nodes that share a warm server
@@ -103,6 +117,12 @@
     When 6.5 s pass
     Then the owner lends 6 slots
 
+  Scenario: An owner whose membership is unsettled lends nothing
+    Guards against lending by a view that is not confirmed.
+    Given 3 nodes that share a warm server
+    When the owner's membership is unsettled for 1 s
+    Then the owner lends 0 slots
+
   Scenario: A cold sign revokes loans at once
     Guards against a borrower that goes on until its loan expires.
     Given 3 nodes that share a warm server
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -7,7 +7,11 @@
 )
 
 from egretshed.backends.interface import LoadReport
-from egretshed.gen.messages.ttypes import LoanDemand
+from egretshed.gen.messages.ttypes import (
+    LoanDemand,
+    LoanGrant,
+)
+from egretshed.slots.borrowed import BorrowedState
 from egretshed.slots.division import divide
 from egretshed.slots.ledger import ReplicaLedger
 from egretshed.slots.records import (
@@ -170,6 +174,25 @@
     assert committed == count, context.ledger.loans
 
 
+@when('a borrower sees "{steps}"')
+def borrower_sees(context, steps):
+    context.state = BorrowedState("p-0")
+    for step in steps.split():
+        name, *numbers = step.split(":")
+        loan_id, slots = map(int, numbers[-2:])
+        grant = LoanGrant("p-0", loan_id, slots, 2000, 6, 0, True)
+        if name == "lower":
+            context.state.lower("owner", grant, 0.1)
+        else:
+            owner = "owner" if name == "reply" else name
+            context.state.accept(owner, grant, float(numbers[0]), 3.0)
+
+
+@then("it has {free:d} free slots at {now_s:g} s")
+def borrower_free(context, free, now_s):
+    assert context.state.free(now_s) == free, context.state.free(now_s)
+
+
 @given("{count:d} nodes that share a {state} server")
 def nodes_share(context, count, state):
     context.loop = asyncio.new_event_loop()
@@ -252,6 +275,12 @@
     run(context, context.clock.advance(0))
 
 
+@when("the owner's membership is unsettled for {seconds:g} s")
+def owner_unsettled(context, seconds):
+    context.owner.membership.settled = False
+    run(context, context.clock.advance(seconds))
+
+
 @when("the owner is paused for {seconds:g} s")
 def owner_pauses(context, seconds):
     context.owner.pause()
