--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -7,7 +7,13 @@
 )
 
 from egretshed.backends.interface import LoadReport
+from egretshed.gen.messages.ttypes import (
+    LoanDemand,
+    LoanGrant,
+)
+from egretshed.slots.borrowed import BorrowedState
 from egretshed.slots.division import divide
+from egretshed.slots.ledger import ReplicaLedger
 from egretshed.slots.records import (
     BorrowerId,
     CallObservation,
@@ -18,6 +24,7 @@
 )
 from egretshed.slots.warmth import Warmth
 from standins.clock import ManualClock
+from standins.environments import make_environment
 from standins.fake_backends import FakeServer
 from standins.fake_membership import (
     FakeShare,
@@ -112,6 +119,80 @@
     assert context.warmth.limit(context.pool) == limit, context.warmth.state
 
 
+@given("a ledger whose borrower runs calls of up to {longest_s:d} s")
+def ledger(context, longest_s):
+    context.longest_ms = longest_s * 1000
+    context.clock = ManualClock()
+    context.ledger = ReplicaLedger(make_environment(context.clock), "p-0")
+    context.now_s = 0.0
+
+
+@when('it sees "{steps}"')
+def ledger_sees(context, steps):
+    for step in steps.split():
+        name, *numbers = step.split(":")
+        LEDGER_STEPS[name](context, *map(float, numbers))
+
+
+def ledger_report(context, sequence, held, running, loan_id=0, node_id="b"):
+    demand = LoanDemand("p-0", 9, int(held), int(running), context.longest_ms)
+    demand.loan_id = loan_id
+    borrower = BorrowerId(node_id, 1)
+    context.ledger.report(borrower, demand, int(sequence), context.now_s)
+
+
+def ledger_lend(context, amount, node_id="b"):
+    borrower = BorrowerId(node_id, 1)
+    context.grant = context.ledger.lend(borrower, int(amount), 0, context.now_s)
+
+
+def ledger_confirm(context, sequence, held, running):
+    ledger_report(context, sequence, held, running, context.grant.loan_id)
+
+
+def ledger_other(context, amount):
+    ledger_report(context, 1, 0, 0, node_id="other")
+    ledger_lend(context, amount, node_id="other")
+
+
+def ledger_wait(context, seconds):
+    context.now_s += seconds
+
+
+LEDGER_STEPS = {
+    "report": ledger_report,
+    "lend": ledger_lend,
+    "confirm": ledger_confirm,
+    "other": ledger_other,
+    "wait": ledger_wait,
+}
+
+
+@then("it counts {count:d} slots as committed")
+def ledger_counts(context, count):
+    committed = context.ledger.committed(context.now_s)
+    assert committed == count, context.ledger.loans
+
+
+@when('a borrower sees "{steps}"')
+def borrower_sees(context, steps):
+    context.state = BorrowedState("p-0")
+    for step in steps.split():
+        name, *numbers = step.split(":")
+        loan_id, slots = map(int, numbers[-2:])
+        grant = LoanGrant("p-0", loan_id, slots, 2000, 6, 0, True)
+        if name == "lower":
+            context.state.lower("owner", grant, 0.1)
+        else:
+            owner = "owner" if name == "reply" else name
+            context.state.accept(owner, grant, float(numbers[0]), 3.0)
+
+
+@then("it has {free:d} free slots at {now_s:g} s")
+def borrower_free(context, free, now_s):
+    assert context.state.free(now_s) == free, context.state.free(now_s)
+
+
 @given("{count:d} nodes that share a {state} server")
 def nodes_share(context, count, state):
     context.loop = asyncio.new_event_loop()
@@ -177,6 +258,49 @@
     assert len(context.server.calls) == count, context.server.calls
 
 
+@given("calls may last {longest_s:d} s")
+def calls_last(context, longest_s):
+    kinds = context.configuration.kinds
+    change(context, kinds={"k": kinds["k"]._replace(deadline_s=longest_s)})
+
+
+@when("the owner dies and the others notice")
+def owner_dies(context):
+    context.owner.task.cancel()
+    context.network.detach(context.owner.node_id)
+    alive = {node.node_id for node in context.nodes} - {context.owner.node_id}
+    for node in context.nodes:
+        node.membership.heard_ids = alive
+        node.membership.listed_ids = sorted(alive)
+    run(context, context.clock.advance(0))
+
+
+@when("the owner's membership is unsettled for {seconds:g} s")
+def owner_unsettled(context, seconds):
+    context.owner.membership.settled = False
+    run(context, context.clock.advance(seconds))
+
+
+@when("the owner is paused for {seconds:g} s")
+def owner_pauses(context, seconds):
+    context.owner.pause()
+    run(context, context.clock.advance(seconds))
+    context.owner.resume()
+    run(context, context.clock.advance(0))
+
+
+@then("the {which} lends {count:d} slots")
+def may_lend(context, which, count):
+    (owned,) = [
+        owned
+        for node in context.nodes
+        if not node.task.done()
+        for owned in node.service.owned()
+    ]
+    may = max(0, owned.lendable - owned.foreign)
+    assert may == count, owned
+
+
 @when("{seconds:g} s pass")
 def pass_time(context, seconds):
     run(context, context.clock.advance(seconds))
