End an event stream only after its final item was written

Cause: load runs showed streams that ended without a final answer. The end was read after a batch had been written; a final item that came during the write was never sent. Change: the end is read together with the batch. A failed request that may be repeated runs again when its id is submitted again. Conclusion: the race was in the reader, not in the buffer.

--- a/egretshed/callers/events.py
+++ b/egretshed/callers/events.py
@@ -73,8 +73,10 @@
             await asyncio.sleep(coalesce_s)
         batches = stream.batches_after(after)
         after = stream.sequence
+        # Read before yielding: items may follow while the reader takes these.
+        is_last = stream.finished
         yield batches
-        if stream.finished:
+        if is_last:
             return
 
 
--- a/egretshed/callers/tests/steps/caller_steps.py
+++ b/egretshed/callers/tests/steps/caller_steps.py
@@ -9,7 +9,11 @@
     when,
 )
 
+from egretshed.callers.events import local_batches
 from egretshed.configuration.keys import digest_key
+from egretshed.requests.stream import RequestStream
+from standins.clock import ManualClock
+from standins.environments import make_environment
 from standins.system import System
 
 ROOT = Path(__file__).resolve().parents[4]
@@ -25,10 +29,18 @@
 
 @given('a running node with the example deployment "{name}"')
 def running_node(context, name):
-    system = System(ROOT / "examples" / name)
+    start_system(context, name, nodes=1)
+
+
+def start_system(context, name, nodes):
+    """Start a system for the whole feature, since a start takes about a second."""
+    system = context.systems.get(context.feature.name)
+    if system is None:
+        system = System(ROOT / "examples" / name, nodes)
+        run(context, system.__aenter__())
+        context.systems[context.feature.name] = system
+    system.forget_backend_calls()
     context.system = system
-    run(context, system.__aenter__())
-    context.add_cleanup(lambda: run(context, system.__aexit__()))
 
 
 def raw_body(text: str) -> bytes:
@@ -111,7 +123,7 @@
     stream_id = context.outcome["stream_id"]
     path = {
         "stream": f"/v1/streams/{stream_id}",
-        "outcome": f"/v1/requests/{VALID['request_id']}",
+        "outcome": "/v1/requests/finished-1",
     }[what]
     context.response = run(
         context,
@@ -132,9 +144,124 @@
 
 @then("the node serves a valid request")
 def serves_valid(context):
-    valid = json.dumps({**VALID, "request_id": "good-1"}).encode()
+    context.served = getattr(context.system, "served", 0) + 1
+    context.system.served = context.served
+    request_id = f"good-{context.served}"
+    short = {"prompt": "x", "max_tokens": 2}
+    valid = json.dumps({**VALID, "request_id": request_id, "body": short}).encode()
     response = submit(context, valid, key_header(context))
     outcome = json.loads(response.body)
     assert outcome["outcome"] == "complete", outcome
     calls = {call["request_id"] for call in context.system.backend_calls()}
-    assert calls == {"good-1"}, calls
+    assert calls == {request_id}, calls
+
+
+@given('two running nodes with the example deployment "{name}"')
+def two_nodes(context, name):
+    start_system(context, name, nodes=2)
+
+
+@given("a reader that has taken the first batch of a stream")
+def reader_took_first(context):
+    env = make_environment(ManualClock())
+    context.stream = RequestStream(env, "entry-1:1:1", "customer", "r1")
+    context.stream.append_tokens(("a",))
+    context.batches = local_batches(context.stream, 0, 0.0)
+    context.items = list(run(context, anext(context.batches)))
+
+
+@when("{late} arrive before the reader asks for more")
+def late_items(context, late):
+    for item in late.split():
+        if item == "token":
+            context.stream.append_tokens(("b",))
+        elif item == "reset":
+            context.stream.reset()
+        else:
+            context.stream.finish({"outcome": "complete"})
+    context.late = late
+
+
+@then("the reader gets all items up to the final answer")
+def reader_gets_all(context):
+    async def read_rest():
+        if not context.stream.finished:
+            context.items += await anext(context.batches)
+            context.stream.finish({"outcome": "complete"})
+        async for batches in context.batches:
+            context.items += batches
+
+    run(context, asyncio.wait_for(read_rest(), 5.0))
+    assert context.items[-1].event == "final", context.items
+    assert context.items[-1].sequence == context.stream.sequence
+    got = [token for item in context.items for token in item.data.get("tokens", ())]
+    assert got == ["a"] + ["b"] * context.late.split().count("token")
+
+
+def parse_events(text: str) -> list[tuple[int, str, dict]]:
+    events = []
+    for block in text.split("\n\n"):
+        fields = dict(
+            line.split(": ", 1) for line in block.splitlines() if ": " in line
+        )
+        if "id" in fields:
+            data = json.loads(fields["data"])
+            events.append((int(fields["id"]), fields["event"], data))
+    return events
+
+
+@when("a caller breaks its stream after {received:d} tokens")
+def break_stream(context, received):
+    system = context.system
+    system.served = getattr(system, "served", 0) + 1
+    request_id = context.request_id = f"resume-{system.served}"
+    body = {**VALID, "request_id": request_id, "stream": True}
+
+    async def read_some():
+        identity = system.nodes[0].env.identity
+        reader, writer = await asyncio.open_connection(
+            identity.host, identity.http_port
+        )
+        raw = json.dumps(body).encode()
+        key = system.customer_keys[CUSTOMER]
+        head = (
+            f"POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
+            f"Content-Length: {len(raw)}\r\n\r\n"
+        ).encode()
+        writer.write(head + raw)
+        text = ""
+        tokens = []
+        while len(tokens) < received:
+            text += (await reader.read(200)).decode()
+            whole = text[: text.rfind("\n\n") + 2]
+            events = parse_events(whole)
+            tokens = [t for _, _, d in events for t in d.get("tokens", ())]
+        writer.close()
+        stream_id = text.split("X-Stream-Id: ")[1].split("\r\n")[0]
+        return stream_id, events[-1][0], tokens
+
+    context.broken = run(context, asyncio.wait_for(read_some(), 20.0))
+
+
+@when("it resumes from the last sequence number at {which} node")
+def resume(context, which):
+    stream_id, last, _ = context.broken
+    headers = {**key_header(context), "Last-Event-ID": str(last)}
+    node = 0 if which == "the same" else 1
+    context.response = run(
+        context,
+        context.system.fetch(
+            "GET", f"/v1/streams/{stream_id}", headers=headers, node=node
+        ),
+    )
+
+
+@then("it has every token once and in order")
+def check_tokens(context):
+    events = parse_events(context.response.body.decode())
+    assert events[-1][1] == "final", events[-1:]
+    assert events[-1][2]["outcome"] == "complete", events[-1]
+    rest = [token for _, _, data in events for token in data.get("tokens", ())]
+    got = context.broken[2] + rest
+    expected = [f"{context.request_id}:{index} " for index in range(len(got))]
+    assert got == expected and len(got) == events[-1][2]["output"]["tokens"], got
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -121,7 +121,8 @@
         known = self.store.find_request(submission.customer_id, submission.request_id)
         if known is not None:
             self._check_same(known, submission)
-            return known
+            if not known.may_run_again:
+                return known
         if not self.services.configuration.is_fresh():
             raise NotRun(
                 "the node cannot confirm its configuration",
@@ -190,8 +191,6 @@
     def _finish(self, run: _Run, outcome: dict[str, Any]) -> None:
         stream = run.stream
         stream.finish(outcome)
-        if outcome["outcome"] == "not_run":
-            self.store.forget(stream)
         self._record(run, outcome)
 
     def _record(self, run: _Run, outcome: dict[str, Any]) -> None:
--- a/egretshed/requests/store.py
+++ b/egretshed/requests/store.py
@@ -62,7 +62,7 @@
         return [s for s in self._by_id.values() if not s.finished]
 
     def forget(self, stream: RequestStream) -> None:
-        """Drop a stream that did not run, so that its id may be submitted again."""
+        """Forget which stream a request id has, unless a newer one has taken it."""
         key = (stream.customer_id, stream.request_id)
         if self._by_request.get(key) is stream:
             del self._by_request[key]
--- a/egretshed/requests/stream.py
+++ b/egretshed/requests/stream.py
@@ -59,6 +59,11 @@
     def finished(self) -> bool:
         return self.outcome is not None
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether submitting the id again starts it anew instead of joining it."""
+        return self.finished and "retry_after_s" in self.outcome
+
     @property
     def sequence(self) -> int:
         return self._dropped + len(self.items)
--- a/standins/system.py
+++ b/standins/system.py
@@ -73,8 +73,18 @@
         await write_first_configuration(self._raw_settings(0, "x", "x"), objects)
         for node in self.nodes:
             await node.start()
+        await self.until_lending()
         return self
 
+    async def until_lending(self) -> None:
+        """Wait until every owned replica may be lent."""
+        clock = self.nodes[0].env.clock
+        while not all(
+            owned and all(replica.lendable for replica in owned)
+            for owned in (node.slots.owned() for node in self.nodes)
+        ):
+            await clock.sleep(0.05)
+
     async def __aexit__(self, *exc: Any) -> None:
         for node in self.nodes:
             await node.close()
@@ -135,6 +145,11 @@
         )
         return await self.client.fetch(request, raise_error=False)
 
+    def forget_backend_calls(self) -> None:
+        """Empty the record of calls, for the next scenario."""
+        for backend in self.host.backends:
+            backend.state.record.calls.clear()
+
     def backend_calls(self) -> list[dict[str, Any]]:
         """Return the record of every call that any backend server received."""
         return [
