Check in the plan fuzz run that no fencing number has two holders

Cause: a trial on a scratch copy in which every lease had fencing number 1 passed the fuzz run. Change: the run records the node of each fencing number in the lease row. Conclusion: trials that remove the view's version check, the time left check or the lease condition still pass the fuzz run; the first has a behave scenario of its own, the others are backed by the row versions and the servers' revisions.

--- a/egretshed/plans/tests/fuzz_plans.py
+++ b/egretshed/plans/tests/fuzz_plans.py
@@ -218,6 +218,9 @@
         leases = [node.plans.executor.lease for node in cluster.nodes.values()]
         assert sum(lease.left_s() > 0 for lease in leases) <= 1, "two lease holders"
         rows = cluster.rows()
+        lease = rows.get("leases/executor", {"fencing_number": 0, "node_id": ""})
+        holder = self.holders.setdefault(lease["fencing_number"], lease["node_id"])
+        assert holder == lease["node_id"], "two holders of one fencing number"
         plans = [row for key, row in rows.items() if key.startswith("plans/")]
         plans = [row for row in plans if "plan_id" in row]
         active = rows.get("plans/active", {"plans": {}})["plans"]
