Move the reasons to refuse a plan into a module of their own

Change: the checks of the digest and of conflicting plans are in plans/refusals.py. Conclusion: no change of behaviour.

--- a/egretshed/plans/service.py
+++ b/egretshed/plans/service.py
@@ -3,7 +3,6 @@
 import uuid
 from typing import Any
 
-from egretshed.configuration.schema import Configuration
 from egretshed.environment import Environment
 from egretshed.errors import (
     InvalidRequest,
@@ -26,6 +25,10 @@
     digest_of,
     plan_digest,
 )
+from egretshed.plans.refusals import (
+    check_conflicts,
+    check_digest,
+)
 from egretshed.plans.store import (
     Active,
     StoredPlan,
@@ -111,11 +114,11 @@
         for _ in range(RACE_ATTEMPTS):
             stored, active = await self.store.read(plan_id)
             plan = stored.plan
-            _check_digest(plan, digest)
+            check_digest(plan, digest)
             self._check_unchanged(plan)
             await self._check_capacity(plan, accept_low_capacity)
             active = self._without_returned(active)
-            _check_conflicts(plan, active, self.configuration.current)
+            check_conflicts(plan, active, self.configuration.current)
             try:
                 return await self._activate(
                     stored, active, operator, accept_low_capacity
@@ -277,48 +280,6 @@
         )
 
 
-def _check_digest(plan: Plan, digest: str) -> None:
-    if plan.state != "proposed":
-        raise PlanRefused(
-            f"plan {plan.plan_id} is {plan.state} already",
-            reason="not_proposed",
-            state=plan.state,
-        )
-    if digest != plan.digest or plan_digest(plan) != digest:
-        raise PlanRefused(
-            "the digest is not that of the plan",
-            reason="digest_differs",
-            differences={"given": digest, "plan": plan.digest},
-        )
-
-
-def _check_conflicts(plan: Plan, active: Active, current: Configuration) -> None:
-    for other_id, entry in active.plans.items():
-        shared = sorted(set(entry["objects"]) & set(plan.objects))
-        if shared:
-            _refuse_conflict(other_id, entry["operator"], ", ".join(shared))
-    if not plan.domains_out:
-        return
-    out = {name: entry["plan_id"] for name, entry in active.domains_out.items()}
-    for name, domain in current.failure_domains.items():
-        if domain.out:
-            out.setdefault(name, "")
-    for name, other_id in out.items():
-        if name not in plan.domains_out:
-            what = f"failure domain {name} is out"
-            operator = active.plans.get(other_id, {}).get("operator", "")
-            _refuse_conflict(other_id, operator, what)
-
-
-def _refuse_conflict(other_id: str, operator: str, what: str) -> None:
-    raise PlanRefused(
-        f"conflicts with plan {other_id or '(none)'}: {what}",
-        reason="conflicting_plan",
-        conflicting_plan=other_id,
-        conflicting_operator=operator,
-    )
-
-
 def _domains_out(draft: Draft) -> tuple[str, ...]:
     """Return the failure domains that the steps take out; at most one."""
     names = {
