Release the executor lease at shutdown

Cause: a stopped node kept the lease until it expired, so a plan paused for that long. Change: the node stops its plan service last, while the table can still be reached.

--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -29,6 +29,11 @@
     Environment,
     Identity,
 )
+from egretshed.errors import (
+    PlatformUnavailable,
+    TableConflict,
+    TableOutcomeUnknown,
+)
 from egretshed.logs import (
     log_event,
     make_logger,
@@ -225,10 +230,18 @@
         cut = await self.runner.drain(settings.shutdown.limit_s)
         await self.slots.hand_back()
         await self.claims.flush(settings.shutdown.limit_s)
+        await self._release_lease()
         await self.close()
         log_event(self.env.logger, "node_stopped", requests_cut=cut)
         return cut
 
+    async def _release_lease(self) -> None:
+        try:
+            await self.plans.stop()
+        except (PlatformUnavailable, TableConflict, TableOutcomeUnknown) as error:
+            # The lease expires by itself.
+            log_event(self.env.logger, "lease_not_released", error=error.code)
+
     async def close(self) -> None:
         """End all tasks and connections at once, without leaving gracefully."""
         for task in self._tasks:
