Make the claims fuzz run reach undecided claims and unstored outcomes

Cause: trial mutants that forget an undecided claim, or lose an issued id's outcome, passed the fuzz run. Change: issued ids are submitted at all nodes, more faulty writes in a row, and a write that loses its reply just before the table goes down.

--- a/egretshed/claims/tests/fuzz_claims.py
+++ b/egretshed/claims/tests/fuzz_claims.py
@@ -33,8 +33,8 @@
 CUSTOMER = "c"
 
 nodes = st.sampled_from(NODES)
-ids = st.integers(0, 3)
-few = st.integers(0, 3)
+ids = st.integers(0, 5)
+few = st.integers(0, 5)
 
 
 class Node:
@@ -102,9 +102,10 @@
         for name in NODES:
             self.submit_one(name, f"r{number}", pause_s)
 
-    @rule(name=nodes, number=st.integers(0, 5), pause_s=st.sampled_from([0, 1]))
-    def submit_issued(self, name, number, pause_s):
-        self.submit_one(name, self.issued[number % len(self.issued)], pause_s)
+    @rule(number=st.integers(0, 5), pause_s=st.sampled_from([0, 1]))
+    def submit_issued(self, number, pause_s):
+        for name in NODES:
+            self.submit_one(name, self.issued[number % len(self.issued)], pause_s)
 
     @rule(name=nodes, number=ids)
     def caller_gives_up(self, name, number):
@@ -133,6 +134,10 @@
         self.table.late_writes = late
         self.table.late_s = late_s
 
+    @rule()
+    def outage_after_write(self):
+        self.table.down_after_write = True
+
     @rule(slow_s=st.sampled_from([0, 0.01, 2]))
     def slow(self, slow_s):
         self.memory.slow_s = slow_s
@@ -170,6 +175,7 @@
         self.memory.slow_s = 0.0
         self.memory.lose_next_replies = self.memory.drop_next_writes = 0
         self.table.late_writes = 0
+        self.table.down_after_write = False
         self.settle(120)
         self.runs_at_most_once()
         self.outcomes_stay_and_are_true()
--- a/egretshed/claims/tests/late_table.py
+++ b/egretshed/claims/tests/late_table.py
@@ -8,7 +8,8 @@
 class LateTable:
     """Passes calls to a `MemoryTable`; the next `late_writes` take effect `late_s` on.
 
-    The caller gets `TableOutcomeUnknown` at once, as after a timeout.
+    The caller gets `TableOutcomeUnknown` at once, as after a timeout. With
+    `down_after_write` the next write loses its reply and the table goes down.
     """
 
     def __init__(self, memory):
@@ -16,6 +17,7 @@
         self.inner = memory.platform.table
         self.late_writes = 0
         self.late_s = 5.0
+        self.down_after_write = False
         self._tasks = set()
 
     async def read(self, keys):
@@ -25,6 +27,11 @@
         return await self.inner.scan(prefix, after, limit)
 
     async def transact(self, conditions, writes):
+        if self.down_after_write and not self.memory.down:
+            self.down_after_write = False
+            self.memory.core.table.transact(conditions, writes)
+            self.memory.down = True
+            raise TableOutcomeUnknown("the reply was lost")
         if self.late_writes <= 0:
             await self.inner.transact(conditions, writes)
             return
--- a/egretshed/claims/tests/steps/claims_steps.py
+++ b/egretshed/claims/tests/steps/claims_steps.py
@@ -168,22 +168,7 @@
 
 @when("the next write then the table is down")
 def then_down(context):
-    memory = context.nodes.memory
-    memory.lose_next_replies = 1
-    inner = context.nodes.table.inner
-
-    class DownAfterWrite:
-        read = inner.read
-        scan = inner.scan
-
-        async def transact(self, conditions, writes):
-            context.nodes.table.inner = inner
-            try:
-                await inner.transact(conditions, writes)
-            finally:
-                memory.down = True
-
-    context.nodes.table.inner = DownAfterWrite()
+    context.nodes.table.down_after_write = True
 
 
 @when('{name} asks to claim "{request_id}"')
