Report an outcome without a row as a failed check in the claims fuzz run

Cause: a missing row ended the check with a KeyError instead of its message. Change: the check reads the row's state with a default.

--- a/egretshed/claims/tests/fuzz_claims.py
+++ b/egretshed/claims/tests/fuzz_claims.py
@@ -164,7 +164,8 @@
         rows = self.memory.core.table.dump()
         for node, key in self.finished:
             if node in self.nodes.values():
-                assert rows[key]["state"] == "done", f"{key} was not stored"
+                state = rows.get(key, {}).get("state")
+                assert state == "done", f"{key} was not stored"
         for key, row in rows.items():
             if row["state"] == "claimed" and key not in self.given:
                 current = self.nodes[row["node_id"]].incarnation
