--- a/egretshed/slots/owned.py
+++ b/egretshed/slots/owned.py
@@ -57,7 +57,21 @@
         if not self.may_get_work or (self.report and self.report.leaving):
             return 0
         limit = self.warmth.limit(pool)
-        return self.window.lendable(limit, now_s, longest_s)
+        lendable = self.window.lendable(limit, now_s, longest_s)
+        left = limit - self._unknown_calls(now_s, longest_s)
+        return max(0, min(lendable, left))
+
+    def _unknown_calls(self, now_s: float, longest_s: float) -> int:
+        """Return reported calls beyond the ledger's, once the server turned cold.
+
+        The owner in another partition may have lent its share of the warm limit; those
+        calls end within a loan duration and the longest call of the sign.
+        """
+        lasts_s = self.ledger.env.settings.slots.loan_duration_s + longest_s
+        if self.report is None or not self.warmth.turned_cold_after(now_s - lasts_s):
+            return 0
+        present = self.report.in_flight + self.report.queued
+        return max(0, present - self.ledger.running(now_s))
 
     def foreign(self, pool: Pool, now_s: float, longest_s: float) -> int:
         """Return the calls, in slots, that earlier owners may have left running."""
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -117,6 +117,17 @@
     When 6.5 s pass
     Then the owner lends 6 slots
 
+  Scenario Outline: A cold owner guards against <failure>
+    Given 3 nodes that share a warm server
+    When <calls> calls of another partition run and the server turns cold
+    And 1 s pass
+    Then the owner lends <lent> slots
+
+    Examples:
+      | failure                                        | calls | lent |
+      | adding to warm calls of the other partition    | 4     | 0    |
+      | a cold server left idle                        | 1     | 1    |
+
   Scenario: An owner whose membership is unsettled lends nothing
     Guards against lending by a view that is not confirmed.
     Given 3 nodes that share a warm server
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -275,6 +275,13 @@
     run(context, context.clock.advance(0))
 
 
+@when("{count:d} calls of another partition run and the server turns cold")
+def unknown_calls(context, count):
+    for number in range(count):
+        context.server.start(f"elsewhere/{number}")
+    context.server.set_warm(False)
+
+
 @when("the owner's membership is unsettled for {seconds:g} s")
 def owner_unsettled(context, seconds):
     context.owner.membership.settled = False
--- a/egretshed/slots/warmth.py
+++ b/egretshed/slots/warmth.py
@@ -41,6 +41,11 @@
         step = (pool.warm_slots - pool.cold_slots) * self.completed
         return pool.cold_slots + step // max(1, pool.warm_up_calls)
 
+    def turned_cold_after(self, since_s: float) -> bool:
+        """Return whether the server is cold by a sign that is newer than `since_s`."""
+        is_cold = self.state is WarmthState.COLD and self._has_cold_sign
+        return is_cold and self._cold_sign_s > since_s
+
     def note_cold(self, now_s: float) -> None:
         """Apply a sign of coldness: first token late, rejection or empty cache."""
         self._move(WarmthState.COLD, now_s)
