--- a/egretshed/membership/rejoin.py
+++ b/egretshed/membership/rejoin.py
@@ -46,17 +46,17 @@
         """Fetch all members from a few listed nodes."""
         silent = self._silent()
         asked = self.env.random.sample(silent, min(START_PEERS, len(silent)))
-        first = [self.view.update_of(self.view.own_id)]
-        await asyncio.gather(
-            *(self._exchange(node_id, MemberSync(first)) for node_id in asked)
-        )
+        await asyncio.gather(*(self._fetch_all_from(node_id) for node_id in asked))
 
     async def run(self) -> None:
         while True:
             jitter = self.env.random.uniform(0.7, 1.3)
             await self.env.clock.sleep(REJOIN_PERIOD_S * jitter)
             silent = self._silent()
-            if silent:
+            if len(silent) > SAMPLE_MEMBERS:
+                # After a mass start or a long cut, samples would take minutes.
+                await self._fetch_all_from(self.env.random.choice(silent))
+            elif silent:
                 await self._sync_with(self.env.random.choice(silent))
             await self._sync_if_due()
 
@@ -72,6 +72,10 @@
     async def _sync_with(self, node_id: str) -> None:
         await self._exchange(node_id, MemberSync(self._sample(node_id)))
 
+    async def _fetch_all_from(self, node_id: str) -> None:
+        own = self.view.update_of(self.view.own_id)
+        await self._exchange(node_id, MemberSync([own]))
+
     async def _exchange(self, node_id: str, message: MemberSync) -> None:
         try:
             reply = await self.peers.call(node_id, message)
