Answer not_run only if no earlier submission may have run

Cause: P5 promises that the request did not run. A caller whose connection broke and who submits the id elsewhere could be told not_run while the first node had run it; the same for an issued id at another node. Change: submissions say that they are repeats; a refusal before the claim is then failed (repeatable) or unknown with a time to ask again. An issued id elsewhere is unknown. The claims row that expected not_run for it is replaced by two stricter ones. Conclusion: not_run now also holds over several submissions of one id.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -132,6 +132,8 @@
             "stream": True,
             "deadline_s": max(0.001, self.record.end_s - self.clock.monotonic_s()),
         }
+        if any(answer.outcome == "lost" for answer in self.record.answers):
+            body["resubmission"] = True
         if self.stream_id:
             body["resume"] = {
                 "stream_id": self.stream_id,
--- a/egretshed/claims/service.py
+++ b/egretshed/claims/service.py
@@ -100,8 +100,8 @@
         """Return the right to run the request; each right is given out once.
 
         Raises `AlreadyClaimed` (with the outcome, if known), `ClaimsUnavailable` (this
-        submission does not run), and for issued ids `InvalidRequest`, `NotRun` (field
-        `node_id`: the live node to submit to) or `OutcomeUnknown` (that node ended).
+        submission does not run), and for issued ids `InvalidRequest` or
+        `OutcomeUnknown` (field `node_id`: the node to submit to, unless it has ended).
         """
         if self._outcomes.is_full:
             raise _unavailable("outcome_backlog")
@@ -186,11 +186,11 @@
         if self._issued.is_ours(issued):
             raise _already(await self.outcome(customer_id, request_id))
         if self._is_alive(issued.node_id, issued.incarnation):
-            raise NotRun(
-                "only the node that issued the request id runs it",
+            # Not `NotRun`: the issuing node may have run it already.
+            raise OutcomeUnknown(
+                "only the node that issued the request id can run it or tell",
                 reason="issued_by_other_node",
                 node_id=issued.node_id,
-                retry_after_s=0.0,
             )
         await self._refuse_orphan(customer_id, request_id, issued)
 
--- a/egretshed/claims/tests/claims.feature
+++ b/egretshed/claims/tests/claims.feature
@@ -57,7 +57,8 @@
     Examples:
       | event                 | at | answer                  |
       | nothing happens       | n1 | claimed                 |
-      | nothing happens       | n2 | not_run                 |
+      | nothing happens       | n2 | unknown                 |
+      | n1 claims it          | n2 | unknown                 |
       | n1 claims it          | n1 | already_claimed running |
       | n1 dies               | n2 | unknown                 |
       | n1 restarts           | n1 | unknown                 |
--- a/egretshed/requests/outcomes.py
+++ b/egretshed/requests/outcomes.py
@@ -47,7 +47,7 @@
     name = _outcome_name(stream, error, repeatable)
     require(
         env,
-        name != "not_run" or not stream.sent_to_backend,
+        name != "not_run" or not stream.may_have_run,
         "P5_not_run_is_true",
         request_id=stream.request_id,
     )
@@ -60,7 +60,7 @@
     }
     if "stage" in error.fields:
         outcome["stage"] = error.fields["stage"]
-    if name == "not_run" or (name == "failed" and repeatable):
+    if not stream.sent_to_backend or (name == "failed" and repeatable):
         outcome["retry_after_s"] = _retry_after(env, error)
     return outcome
 
@@ -79,7 +79,7 @@
 ) -> str:
     if isinstance(error, OutcomeUnknown):
         return "unknown"
-    if not stream.sent_to_backend:
+    if not stream.may_have_run:
         return "not_run"
     if isinstance(error, RequestFailed) or repeatable:
         return "failed"
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -131,6 +131,7 @@
             )
         stream = self.store.create(submission.customer_id, submission.request_id)
         stream.body_digest = hash(str(submission.body))
+        stream.earlier_may_have_run = submission.resubmission
         if restarted:
             stream.reset()
         end_s = self.env.clock.monotonic_s() + submission.deadline_s
@@ -221,7 +222,7 @@
             async with asyncio.timeout(run.submission.deadline_s):
                 return await self._serve(run)
         except TimeoutError as error:
-            if not run.stream.sent_to_backend:
+            if not run.stream.may_have_run:
                 raise NotRun("deadline passed", reason="deadline") from error
             if not run.submission.kind.repeatable:
                 raise OutcomeUnknown(
@@ -395,6 +396,8 @@
         run.claim = await self.services.claims.claim(
             submission.customer_id, submission.request_id
         )
+        # An earlier submission would have claimed the id before its first call.
+        run.stream.earlier_may_have_run = False
 
     async def _call(
         self, run: _Run, stage: Stage, state, form, decision: RoutingDecision
--- a/egretshed/requests/stream.py
+++ b/egretshed/requests/stream.py
@@ -51,6 +51,7 @@
         self.first_token_s: float | None = None
         self.finished_s: float | None = None
         self.sent_to_backend = False
+        self.earlier_may_have_run = False
         self.bytes_used = 0
         self._dropped = 0
         self._changed = asyncio.Event()
@@ -68,6 +69,11 @@
     def sequence(self) -> int:
         return self._dropped + len(self.items)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether this or an earlier submission may have reached a backend server."""
+        return self.sent_to_backend or self.earlier_may_have_run
+
     @property
     def has_tokens(self) -> bool:
         return self.first_token_s is not None
--- a/egretshed/requests/submission.py
+++ b/egretshed/requests/submission.py
@@ -36,7 +36,11 @@
 
 
 class SubmissionBody(NamedTuple):
-    """JSON body of ``POST /v1/requests``; `deadline_s` counts from now."""
+    """JSON body of ``POST /v1/requests``; `deadline_s` counts from now.
+
+    `resubmission` says that an earlier submission of the id got no final answer, so
+    that this one is not answered `not_run` while the earlier one may have run.
+    """
 
     request_id: str
     kind: str
@@ -45,6 +49,7 @@
     priority: int | None = None
     stream: bool = False
     resume: dict[str, Any] | None = None
+    resubmission: bool = False
 
 
 class Submission(NamedTuple):
@@ -60,6 +65,7 @@
     priority: int
     stream: bool
     resume: ResumePoint | None
+    resubmission: bool
 
 
 def read_submission(
@@ -93,6 +99,7 @@
         priority=_priority(body.priority, kind),
         stream=body.stream,
         resume=_resume(body.resume),
+        resubmission=body.resubmission or body.resume is not None,
     )
 
 
--- a/egretshed/requests/tests/steps/stream_steps.py
+++ b/egretshed/requests/tests/steps/stream_steps.py
@@ -79,6 +79,7 @@
 def request_in_state(context, sent, rule):
     context.stream = make_stream(context)
     context.stream.sent_to_backend = sent == "was sent"
+    context.stream.earlier_may_have_run = sent == "was sent before"
     context.repeatable = rule == "may"
 
 
--- a/egretshed/requests/tests/streams.feature
+++ b/egretshed/requests/tests/streams.feature
@@ -47,6 +47,8 @@
       | was sent     | may     | NotRun           | failed  | has     |
       | was sent     | may not | NotRun           | unknown | has not |
       | was not sent | may not | TableUnavailable | not_run | has     |
+      | was sent before | may     | NotRun        | failed  | has     |
+      | was sent before | may not | NotRun        | unknown | has     |
 
   Scenario Outline: A buffer <age> s after its end is <kept>
     Given a stream in a store that keeps buffers for 60 s
