State the measured detection times at larger fleets

Cause: detection at 100 and 360 nodes takes longer than detection_bound_s says. Conclusion: the bound must be raised or the spread made faster before target size.

--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -108,6 +108,7 @@
     def detection_bound_s(self) -> float:
         """Return the time within which the death of a node is noticed, as a rule.
 
+        Measured to hold up to 28 nodes; at 360 all nodes knew after 10.7 s, not 5.8.
         It is the suspicion time and four probe periods: the probe that fails, its
         indirect probes, and the spread of the suspicion.
         """
