Stop a superseded node and refuse new requests while stopping

Cause: a process that learns of a newer incarnation of its node id has to stop, and a stopping node could still be given requests on open connections. Change: both refuse new requests with a time to return; the load in probes is the share of running requests. One fuzz runner instead of two.

--- a/egretshed/configuration/tests/fuzz_configuration.py
+++ b/egretshed/configuration/tests/fuzz_configuration.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import sys
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -16,7 +15,7 @@
 
 from egretshed.configuration.tests.fleet import ConfigurationFleet
 from egretshed.errors import TableOutcomeUnknown
-from standins.fuzzing import run_fuzz
+from standins.fuzz import fuzz_main
 
 NODES = [f"entry-{number}" for number in range(1, 6)]
 HEAL_BOUND_S = 12.0
@@ -125,4 +124,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_fuzz(ConfigurationMachine, examples=25, steps=15))
+    fuzz_main(ConfigurationMachine, examples=25, steps=15)
--- a/egretshed/daemon/main.py
+++ b/egretshed/daemon/main.py
@@ -62,7 +62,8 @@
         starting.cancel()
         return ExitStatus.SUCCESS
     starting.result()
-    await stopping
+    superseded = asyncio.create_task(node.superseded.wait())
+    await asyncio.wait({stopping, superseded}, return_when=asyncio.FIRST_COMPLETED)
     return await _stop(node, stop_now)
 
 
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -95,12 +95,15 @@
         )
         self._tasks: list[asyncio.Task] = []
         self._draining = False
+        self.superseded = asyncio.Event()
 
     def _build(self) -> None:
         env = self.env
         self.platform = connect_platform(env)
         self.peers = TcpPeerNetwork(env, lambda n: self.membership.resolve(n))
         self.membership = MembershipService(env, self.platform, self.peers)
+        self.membership.load_source = self._load_permille
+        self.membership.on_superseded(self._on_superseded)
         self.configuration = ConfigurationService(
             env, self.platform, self.peers, self.membership
         )
@@ -178,8 +181,23 @@
             member is not None and member.is_heard and member.incarnation == incarnation
         )
 
+    def _load_permille(self) -> int:
+        """Return running requests in thousandths of what the settings allow."""
+        limit = self.env.settings.admission.running_requests
+        return min(1000, 1000 * self.runner.running_count() // limit)
+
+    def _on_superseded(self, incarnation: int) -> None:
+        """Start no more requests: a newer process has this node id."""
+        log_event(self.env.logger, "node_superseded", by_incarnation=incarnation)
+        self.runner.refuse_new("superseded")
+        self.superseded.set()
+
     def is_ready(self) -> bool:
-        return not self._draining and self.configuration.is_fresh()
+        return (
+            not self._draining
+            and not self.membership.is_superseded
+            and self.configuration.is_fresh()
+        )
 
     async def start(self) -> None:
         """Join the other nodes, learn the newest configuration, then serve."""
@@ -226,6 +244,7 @@
         log_event(self.env.logger, "node_leaving", running=self.runner.running_count())
         await self.membership.leave()
         await asyncio.sleep(settings.membership.address_keep_s)
+        self.runner.refuse_new("node_stopping")
         self._server.stop()
         cut = await self.runner.drain(settings.shutdown.limit_s)
         await self.slots.hand_back()
--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -163,6 +163,13 @@
     http_status = 409
 
 
+class EarlierMayHaveRun(OutcomeUnknown):
+    """This submission started nothing, but an earlier one of its id may have run.
+
+    Fields: `reason`, `retry_after_s`.
+    """
+
+
 class StreamGap(EgretshedError):
     """The events asked for are no longer buffered. Field: `oldest_sequence`."""
 
--- a/egretshed/membership/tests/fuzz_membership.py
+++ b/egretshed/membership/tests/fuzz_membership.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import sys
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -15,7 +14,7 @@
 )
 
 from egretshed.membership.tests.fleet import Fleet
-from standins.fuzzing import run_fuzz
+from standins.fuzz import fuzz_main
 
 NODES = [f"entry-{number}" for number in range(1, 7)]
 HEAL_BOUND_S = 25.0
@@ -106,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_fuzz(MembershipMachine, examples=20, steps=12))
+    fuzz_main(MembershipMachine, examples=20, steps=12)
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -28,6 +28,7 @@
     AlreadyClaimed,
     BackendError,
     DeadlineExceeded,
+    EarlierMayHaveRun,
     EgretshedError,
     InvalidRequest,
     NoReplicaAvailable,
@@ -69,6 +70,7 @@
 from egretshed.routing.router import Router
 
 STORE_EXPIRY_PERIOD_S = 1.0
+REFUSAL_RETURN_S = (0.2, 1.0)
 
 
 class RunnerServices(NamedTuple):
@@ -105,6 +107,7 @@
         self.store = StreamStore(env)
         self._runs: dict[str, _Run] = {}
         self._attempt_numbers = itertools.count(1)
+        self._refusal = ""
 
     async def run(self) -> None:
         """Expire finished streams until cancelled."""
@@ -123,12 +126,7 @@
             self._check_same(known, submission)
             if not known.may_run_again:
                 return known
-        if not self.services.configuration.is_fresh():
-            raise NotRun(
-                "the node cannot confirm its configuration",
-                reason="configuration_not_fresh",
-                retry_after_s=self.env.random.uniform(0.5, 2.0),
-            )
+        self._check_may_start(submission)
         stream = self.store.create(submission.customer_id, submission.request_id)
         stream.body_digest = hash(str(submission.body))
         stream.earlier_may_have_run = submission.resubmission
@@ -140,6 +138,23 @@
         run.task = asyncio.create_task(self._run(run))
         return stream
 
+    def refuse_new(self, reason: str) -> None:
+        """Start no more requests; running ones go on."""
+        self._refusal = reason
+
+    def _check_may_start(self, submission: Submission) -> None:
+        reason = self._refusal
+        if not self.services.configuration.is_fresh():
+            reason = "configuration_not_fresh"
+        if not reason:
+            return
+        kind = EarlierMayHaveRun if submission.resubmission else NotRun
+        raise kind(
+            "this node starts no new requests",
+            reason=reason,
+            retry_after_s=round(self.env.random.uniform(*REFUSAL_RETURN_S), 3),
+        )
+
     def cancel(self, customer_id: str, stream_id: str) -> bool:
         """Cancel a running request of this customer; False if there is none."""
         run = self._runs.get(stream_id)
