Wait for open responses at shutdown and test planned stops

Cause: a stop closed all connections once the requests had ended, so a caller that read slowly could lose the end of its answer. Change: the stop waits for responses that are still being written.

--- a/egretshed/callers/handlers.py
+++ b/egretshed/callers/handlers.py
@@ -52,6 +52,33 @@
 MAX_ISSUED_IDS = 100
 
 
+class OpenResponses:
+    """Counts responses being written, so that a stop can wait for them."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def __enter__(self) -> None:
+        self._count += 1
+        self._idle.clear()
+
+    def __exit__(self, *exc: Any) -> None:
+        self._count -= 1
+        if not self._count:
+            self._idle.set()
+
+    async def wait_idle(self, limit_s: float) -> bool:
+        """Return whether all responses ended within `limit_s`."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+
 class CallerServices(NamedTuple):
     """What the handlers use."""
 
@@ -62,6 +89,7 @@
     streams: StreamPeers
     claims: ClaimService
     keys: CustomerKeys
+    responses: OpenResponses
 
 
 class CallerHandler(RequestHandler):
@@ -73,12 +101,12 @@
     def customer_id(self) -> str:
         return self.services.keys.customer_of(self)
 
-    def write_json(self, body: Any, status: int = 200) -> None:
+    def write_json(self, body: Any, status: int = 200) -> asyncio.Future:
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         if isinstance(body, dict) and "retry_after_s" in body:
             self.set_header("Retry-After", str(max(1, round(body["retry_after_s"]))))
-        self.finish(msgspec.json.encode(body))
+        return self.finish(msgspec.json.encode(body))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         error = kwargs.get("exc_info", (None, None, None))[1]
@@ -126,6 +154,10 @@
     """``POST /v1/requests``: run a request, answered whole or as events."""
 
     async def post(self) -> None:
+        with self.services.responses:
+            await self._post()
+
+    async def _post(self) -> None:
         services = self.services
         submission = read_submission(
             self.request.body,
@@ -165,7 +197,7 @@
         outcome = dict(stream.outcome)
         if outcome["outcome"] == "complete" and stream.has_tokens:
             outcome["output"] = {**outcome["output"], "text": stream.text()}
-        self.write_json(outcome, http_status_of(outcome))
+        await self.write_json(outcome, http_status_of(outcome))
 
 
 class StreamHandler(CallerHandler):
@@ -175,7 +207,8 @@
         after = self.int_argument("after", self._last_event_id(), MAX_SEQUENCE)
         customer_id = self.customer_id()
         streams = self.services.streams
-        await send_events(self, streams.batches(customer_id, stream_id, after))
+        with self.services.responses:
+            await send_events(self, streams.batches(customer_id, stream_id, after))
 
     async def delete(self, stream_id: str) -> None:
         await self.services.streams.cancel(self.customer_id(), stream_id)
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -15,6 +15,7 @@
 from egretshed.callers.events import StreamPeers
 from egretshed.callers.handlers import (
     CallerServices,
+    OpenResponses,
     caller_routes,
 )
 from egretshed.callers.health import (
@@ -96,6 +97,7 @@
         self._tasks: list[asyncio.Task] = []
         self._draining = False
         self.superseded = asyncio.Event()
+        self.responses = OpenResponses()
 
     def _build(self) -> None:
         env = self.env
@@ -148,6 +150,7 @@
             streams=self.streams,
             claims=self.claims,
             keys=CustomerKeys(self.configuration),
+            responses=self.responses,
         )
 
         async def outcomes(request_id: str) -> list[dict[str, Any]]:
@@ -247,6 +250,8 @@
         self.runner.refuse_new("node_stopping")
         self._server.stop()
         cut = await self.runner.drain(settings.shutdown.limit_s)
+        if not await self.responses.wait_idle(settings.shutdown.limit_s):
+            log_event(self.env.logger, "responses_cut")
         await self.slots.hand_back()
         await self.claims.flush(settings.shutdown.limit_s)
         await self._release_lease()
--- /dev/null
+++ b/egretshed/daemon/tests/steps/shutdown_steps.py
@@ -0,0 +1,151 @@
+import asyncio
+import json
+from pathlib import Path
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from standins.system import System
+
+ROOT = Path(__file__).resolve().parents[4]
+CUSTOMER = "val-david"
+LIMIT_S = 30.0
+SLOW_READ_S = 0.15
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(asyncio.wait_for(coroutine, LIMIT_S))
+
+
+@given("two running nodes")
+def two_nodes(context):
+    context.system = System(ROOT / "examples" / "laurentien", nodes=2)
+    run(context, context.system.__aenter__())
+    context.add_cleanup(lambda: run(context, context.system.__aexit__()))
+
+
+async def read_stream(system, request_id, pause_s):
+    """Return everything that the node sends on one streamed request."""
+    identity = system.nodes[0].env.identity
+    reader, writer = await asyncio.open_connection(identity.host, identity.http_port)
+    body = json.dumps(
+        {
+            "request_id": request_id,
+            "kind": "route_question",
+            "body": {"prompt": "x"},
+            "stream": True,
+        }
+    ).encode()
+    head = (
+        "POST /v1/requests HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        f"Authorization: Bearer {system.customer_keys[CUSTOMER]}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    text = b""
+    while chunk := await reader.read(512):
+        text += chunk
+        await asyncio.sleep(pause_s)
+    writer.close()
+    return text.decode()
+
+
+@when("{count:d} callers stream an answer from the first node and read {reading}")
+def start_streams(context, count, reading):
+    pause_s = SLOW_READ_S if reading == "slowly" else 0.0
+
+    async def start():
+        context.readers = [
+            asyncio.create_task(read_stream(context.system, f"stop-{i}", pause_s))
+            for i in range(count)
+        ]
+        runner = context.system.nodes[0].runner
+        while runner.running_count() < count:
+            await asyncio.sleep(0.01)
+
+    run(context, start())
+
+
+@when("the first node stops gracefully")
+def stop_first(context):
+    context.cut = run(context, context.system.nodes[0].stop())
+
+
+@then("every caller has its whole answer")
+def whole_answers(context):
+    for number, reader in enumerate(context.readers):
+        text = run(context, reader)
+        assert "event: final" in text, text[-300:]
+        final = json.loads(text.split("event: final\ndata: ")[1].split("\n")[0])
+        assert final["outcome"] == "complete", final
+        for token in range(final["output"]["tokens"]):
+            assert text.count(f'"stop-{number}:{token} "') == 1, token
+
+
+@then("the stop cut no request")
+def nothing_cut(context):
+    assert context.cut == 0
+
+
+@when("the first node begins to leave")
+def begin_to_leave(context):
+    run(context, context.system.nodes[0].membership.leave())
+
+
+@then("neither node hands out the first node any more")
+def not_handed_out(context):
+    first = context.system.nodes[0].env.identity.node_id
+
+    async def poll():
+        for node in range(2):
+            while True:
+                response = await context.system.fetch(
+                    "GET", "/v1/addresses?count=5", node=node
+                )
+                named = json.loads(response.body)["addresses"]
+                if first not in [address["node_id"] for address in named]:
+                    break
+                await asyncio.sleep(0.05)
+
+    run(context, poll())
+
+
+def submit(context, request_id, **fields):
+    body = {"request_id": request_id, "kind": "shift_assignment", "body": {}, **fields}
+    key = context.system.customer_keys[CUSTOMER]
+    response = run(
+        context,
+        context.system.fetch("POST", "/v1/requests", json.dumps(body).encode(), key),
+    )
+    return json.loads(response.body)
+
+
+@then("the first node still serves a request")
+def still_serves(context):
+    outcome = submit(context, "leave-1")
+    assert outcome["outcome"] == "complete", outcome
+
+
+@when("the first node refuses new requests")
+def refuse_new(context):
+    context.system.nodes[0].runner.refuse_new("node_stopping")
+
+
+@then('a submission to it is answered "{code}" with a time to return')
+def refused(context, code):
+    answer = submit(context, "refused-1")
+    assert answer["error"] == code and answer["retry_after_s"] > 0, answer
+
+
+@then('a resubmission to it is answered "{code}" with a time to return')
+def refused_again(context, code):
+    answer = submit(context, "refused-1", resubmission=True)
+    assert answer["error"] == code and answer["retry_after_s"] > 0, answer
+
+
+@then("no backend server received a call of either")
+def no_calls(context):
+    assert context.system.backend_calls() == []
