Let a bootstrap key write the first configuration

Cause: a fresh platform declares no operators, so no plan could be confirmed and the examples were written past the product.

--- /dev/null
+++ b/egretshed/daemon/tests/steps/bootstrap_steps.py
@@ -0,0 +1,101 @@
+import asyncio
+import json
+from pathlib import Path
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.configuration.keys import digest_key
+from standins.system import System
+
+ROOT = Path(__file__).resolve().parents[4]
+LIMIT_S = 30.0
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(asyncio.wait_for(coroutine, LIMIT_S))
+
+
+def call(context, method, path, key, body=None):
+    raw = None if body is None else json.dumps(body).encode()
+    response = run(
+        context, context.system.fetch(method, "/v1/operator" + path, raw, key)
+    )
+    return response.code, json.loads(response.body)
+
+
+def propose(context, key):
+    objects = context.system.objects
+    changes = {"intent": "configuration", "arguments": {"changes": objects}}
+    return call(context, "POST", "/plans", key, changes)
+
+
+@given('a node with an empty table and the bootstrap key "{key}"')
+def empty_node(context, key):
+    context.key = key
+    context.system = System(
+        ROOT / "examples" / "laurentien",
+        configured=False,
+        configuration={"bootstrap_key_digests": [digest_key(key)]},
+    )
+    run(context, context.system.__aenter__())
+    context.add_cleanup(lambda: run(context, context.system.__aexit__()))
+
+
+@when("the bootstrap key proposes and confirms the example configuration")
+def bootstrap(context):
+    status, plan = propose(context, context.key)
+    assert status == 201, plan
+    path = f"/plans/{plan['plan_id']}/confirm"
+    status, plan = call(context, "POST", path, context.key, {"digest": plan["digest"]})
+    assert status == 200, plan
+
+    async def until_in_force():
+        while not context.system.nodes[0].configuration.current.version:
+            await asyncio.sleep(0.05)
+
+    run(context, until_in_force())
+
+
+@when('the key "{key}" proposes the example configuration')
+def propose_with(context, key):
+    context.status, _ = propose(context, key)
+
+
+@then("it is refused with status {status:d}")
+def refused(context, status):
+    assert context.status == status
+
+
+@then("the configuration in force has version {version:d}")
+def version_in_force(context, version):
+    assert context.system.nodes[0].configuration.current.version == version
+
+
+@then("the bootstrap key is refused with status {status:d}")
+def bootstrap_refused(context, status):
+    assert call(context, "GET", "/status", context.key)[0] == status
+
+
+@then("a declared operator's key is accepted")
+def operator_accepted(context):
+    key = next(iter(context.system.operator_keys.values()))
+    assert call(context, "GET", "/status", key)[0] == 200
+
+
+@then("a caller's request completes")
+def request_completes(context):
+    body = {"request_id": "first-1", "kind": "shift_assignment", "body": {}}
+    key = next(iter(context.system.customer_keys.values()))
+
+    async def submit():
+        await context.system.until_lending()
+        return await context.system.fetch(
+            "POST", "/v1/requests", json.dumps(body).encode(), key
+        )
+
+    outcome = json.loads(run(context, submit()).body)
+    assert outcome["outcome"] == "complete", outcome
--- a/egretshed/operators/routes.py
+++ b/egretshed/operators/routes.py
@@ -19,6 +19,7 @@
 
 from egretshed.configuration.check import build_configuration
 from egretshed.configuration.keys import matches
+from egretshed.configuration.schema import Operator
 from egretshed.environment import Environment
 from egretshed.errors import (
     EgretshedError,
@@ -38,6 +39,8 @@
 from egretshed.records import to_object
 
 PREFIX = "/v1/operator"
+BOOTSTRAP_OPERATOR = "bootstrap"
+BOOTSTRAP_RIGHTS = ("read", "plan", "confirm")
 BEARER = "Bearer "
 HISTORY_LIMIT = 100
 
@@ -96,7 +99,7 @@
         # Every operator is compared, so that the time does not tell which one matched.
         found = [
             (name, operator.rights)
-            for name, operator in self.services.configuration.current.operators.items()
+            for name, operator in self.operators().items()
             if matches(key, operator.key_digests)
         ]
         if not found:
@@ -107,6 +110,15 @@
             message = f"operator {self.operator} lacks the right {needed}"
             raise Forbidden(message, right=needed)
 
+    def operators(self) -> dict[str, Operator]:
+        """Return the declared operators, or who may write the first configuration."""
+        configuration = self.services.configuration.current
+        if configuration.version > 0:
+            return configuration.operators
+        settings = self.services.env.settings.configuration
+        digests = settings.bootstrap_key_digests
+        return {BOOTSTRAP_OPERATOR: Operator(digests, BOOTSTRAP_RIGHTS)}
+
     def body(self, **types: type) -> dict[str, Any]:
         """Return the JSON body; each named field must be there with its type."""
         try:
--- a/egretshed/settings/schema.py
+++ b/egretshed/settings/schema.py
@@ -92,8 +92,11 @@
 
 
 class ConfigurationSettings(NamedTuple):
+    """`bootstrap_key_digests` count as an operator's until there is a version 1."""
+
     poll_period_s: float = 1.0
     freshness_limit_s: float = 4.0
+    bootstrap_key_digests: tuple[str, ...] = ()
 
 
 class PlanSettings(NamedTuple):
--- a/standins/system.py
+++ b/standins/system.py
@@ -48,9 +48,19 @@
 
 
 class System:
-    """Stand-ins and nodes; `sections` override settings sections of each node."""
+    """Stand-ins and nodes; `sections` override settings sections of each node.
 
-    def __init__(self, deployment: Path, nodes: int = 1, **sections: Any):
+    Without `configured` the table is empty when the nodes start.
+    """
+
+    def __init__(
+        self,
+        deployment: Path,
+        nodes: int = 1,
+        configured: bool = True,
+        **sections: Any,
+    ):
+        self.configured = configured
         self.deployment = deployment
         self.node_count = nodes
         self.sections = sections
@@ -70,10 +80,13 @@
             region = objects[domains[index % len(domains)]]["region"]
             self.nodes.append(Node(self._settings(index, domain, region)))
         self.publish_vms()
-        await write_first_configuration(self._raw_settings(0, "x", "x"), objects)
+        self.objects = objects
+        if self.configured:
+            await write_first_configuration(self._raw_settings(0, "x", "x"), objects)
         for node in self.nodes:
             await node.start()
-        await self.until_lending()
+        if self.configured:
+            await self.until_lending()
         return self
 
     async def until_lending(self) -> None:
