--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,7 +1,9 @@
 """Processes that a run starts on this machine, each ended by its pid."""
 
 import asyncio
+import errno
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -12,6 +14,9 @@
 
 POLL_S = 0.05
 KILL_WAIT_S = 5.0
+# Linux draws the ports of outgoing connections from 32768 on.
+LOWEST_PORT = 20_000
+HIGHEST_PORT = 32_000
 
 
 class NotStarted(Exception):
@@ -92,8 +97,19 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now, held together so that they differ."""
-    held = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    """Return ports that are free now, held together so that they differ.
+
+    They are below the system's range for outgoing connections, so that none of those
+    takes the port of a node that is down for a while.
+    """
+    held = []
+    while len(held) < count:
+        port = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
+        try:
+            held.append(socket.create_server((LOOPBACK, port)))
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
     ports = [server.getsockname()[1] for server in held]
     for server in held:
         server.close()
