--- a/bench/check.py
+++ b/bench/check.py
@@ -162,7 +162,8 @@
             yield Breach("P8", f"node {node_id} ended a planned stop with {status}")
 
 
-def _samples(text: str, name: str) -> Iterator[Any]:
+def samples(text: str, name: str) -> Iterator[Any]:
+    """Yield the samples called `name` of a metrics text."""
     for family in text_string_to_metric_families(text):
         for sample in family.samples:
             if sample.name == name:
@@ -171,7 +172,7 @@
 
 def _invariants(metrics: dict[str, str]) -> Iterator[Breach]:
     for node_id, text in metrics.items():
-        for sample in _samples(text, "egretshed_invariant_violations_total"):
+        for sample in samples(text, "egretshed_invariant_violations_total"):
             if sample.value > 0:
                 invariant = sample.labels["invariant"]
                 promise = invariant.split("_")[0]
@@ -186,7 +187,7 @@
     counted = sum(
         sample.value
         for text in observed.metrics.values()
-        for sample in _samples(text, "egretshed_requests_total")
+        for sample in samples(text, "egretshed_requests_total")
         if sample.labels["outcome"] == "complete"
     )
     if counted < answered:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -57,6 +57,10 @@
             self.signal(signal.SIGCONT)
             self.signal(signal.SIGTERM)
 
+    def interrupt(self) -> None:
+        """Send SIGINT, on which a Python program ends its `finally` blocks."""
+        self.signal(signal.SIGINT)
+
     async def until_ended(self, limit_s: float) -> int:
         """Return the exit code; kills the process after `limit_s`."""
         status = await self.wait(limit_s)
