--- a/bench/check.py
+++ b/bench/check.py
@@ -139,7 +139,7 @@
     for caller in callers:
         for answer in caller["answers"]:
             if answer["outcome"] != "not_run":
-                break
+                continue
             key = (caller["customer_id"], answer["request_id"])
             for call in calls[key]:
                 if call["start_s"] < answer["received_s"]:
