Give slots to waiting calls by priority and deadline

Cause: calls that waited for a slot of the same pool raced for it, so long work could take a slot that a short question had waited for. Change: Router keeps a line for each pool, ordered by priority and by when the call must have ended; whoever wakes first serves the line in order, and a newcomer takes a slot only if no call before it can use it.

--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -372,6 +372,7 @@
             prefix=cache_prefix(state),
             excluded_replicas=away.excluded_replicas,
             excluded_domains=away.excluded_domains,
+            priority=run.submission.priority,
         )
         try:
             return await self.services.router.choose_within(call, remaining_s)
--- a/egretshed/routing/records.py
+++ b/egretshed/routing/records.py
@@ -14,7 +14,8 @@
 
     `remaining_s` is what the stage may take. `prefix` is the start of the prompt, by
     which engines cache. `excluded_replicas` were tried before; replicas in
-    `excluded_domains` are used only if there is no other.
+    `excluded_domains` are used only if there is no other. Calls with a lower `priority`
+    number get slots first.
     """
 
     request_id: str
@@ -26,6 +27,7 @@
     prefix: str = ""
     excluded_replicas: frozenset[str] = frozenset()
     excluded_domains: frozenset[str] = frozenset()
+    priority: int = 0
 
 
 class Candidate(NamedTuple):
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -37,6 +37,10 @@
     RoutingDecision,
     StageCall,
 )
+from egretshed.routing.waiting import (
+    WaitingCall,
+    WaitingLine,
+)
 from egretshed.slots.records import (
     CallObservation,
     Slot,
@@ -62,10 +66,15 @@
         self._policy = POLICIES.get(env.settings.routing.policy)()
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
+        self._line = WaitingLine()
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
 
     def choose(self, call: StageCall) -> RoutingDecision:
-        """Return a decision that holds a slot; raise `NoReplicaAvailable` if none."""
+        """Return a decision that holds a slot; raise `NoReplicaAvailable` if none.
+
+        Waiting calls of the pool are served first.
+        """
+        self._serve_line(call.pool)
         ranking = self._rank(call)
         decision = self._take_first(call, ranking)
         log_decision(self.env, call, ranking, decision)
@@ -76,22 +85,72 @@
         return decision
 
     async def choose_within(self, call: StageCall, wait_s: float) -> RoutingDecision:
-        """Like `choose`, waiting at most `wait_s` for a slot to become free."""
-        ends_s = self.env.clock.monotonic_s() + wait_s
+        """Like `choose`, waiting at most `wait_s` for a slot to become free.
+
+        Slots go to waiting calls by priority, then by when they must have ended; a call
+        takes a slot only if no waiting call before it can use it.
+        """
+        waiting = self._line.join(call, self.env.clock.monotonic_s())
+        decision = None
+        try:
+            decision = await self._wait_in_line(waiting, wait_s)
+            return decision
+        finally:
+            self._line.leave(waiting)
+            if decision is None and waiting.placed.done():
+                # Cancelled between the placing and the return.
+                self.observe(waiting.placed.result(), None, None)
+
+    async def _wait_in_line(
+        self, waiting: WaitingCall, wait_s: float
+    ) -> RoutingDecision:
+        clock = self.env.clock
+        ends_s = clock.monotonic_s() + wait_s
         while True:
+            self._serve_line(waiting.call.pool)
+            if waiting.placed.done():
+                return waiting.placed.result()
+            call = waiting.call_at(clock.monotonic_s())
             ranking = self._rank(call)
-            decision = self._take_first(call, ranking)
-            left_s = ends_s - self.env.clock.monotonic_s()
-            if decision is None and left_s > 0 and ranking.scored:
-                # Ranks anew each period: other replicas may have slots by then.
-                wait_s = min(left_s, self.env.settings.slots.renew_period_s)
-                await self.borrower.wait_for_slot(ranking.wanted(), wait_s)
+            left_s = ends_s - clock.monotonic_s()
+            if self._place(waiting, call, ranking):
+                return waiting.placed.result()
+            if left_s <= 0 or not ranking.scored:
+                log_decision(self.env, call, ranking, None)
+                count_refused(self.env, call)
+                raise NoReplicaAvailable(pool=call.pool, lost=ranking.lost)
+            # Ranks anew each period: other replicas may have slots by then.
+            period_s = min(left_s, self.env.settings.slots.renew_period_s)
+            await self._until_slot_or_placed(waiting, ranking.wanted(), period_s)
+
+    async def _until_slot_or_placed(
+        self, waiting: WaitingCall, replica_ids: list[str], limit_s: float
+    ) -> None:
+        slot = asyncio.ensure_future(self.borrower.wait_for_slot(replica_ids, limit_s))
+        try:
+            await asyncio.wait(
+                {slot, waiting.placed}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            slot.cancel()
+
+    def _serve_line(self, pool: str) -> None:
+        """Place waiting calls of the pool in their order, as far as slots go."""
+        now_s = self.env.clock.monotonic_s()
+        for waiting in self._line.in_order(pool):
+            call = waiting.call_at(now_s)
+            if self._place(waiting, call, self._rank(call)):
                 continue
-            log_decision(self.env, call, ranking, decision)
-            if decision is not None:
-                return decision
-            count_refused(self.env, call)
-            raise NoReplicaAvailable(pool=call.pool, lost=ranking.lost)
+            if not call.excluded_replicas:
+                return  # No slot is left for those behind either.
+
+    def _place(self, waiting: WaitingCall, call: StageCall, ranking: Ranking) -> bool:
+        decision = self._take_first(call, ranking)
+        if decision is None:
+            return False
+        log_decision(self.env, call, ranking, decision)
+        self._line.place(waiting, decision)
+        return True
 
     def observe(
         self,
--- a/egretshed/routing/tests/routing.feature
+++ b/egretshed/routing/tests/routing.feature
@@ -162,3 +162,30 @@
       | failure                                  | has    | least | most |
       | renewals that grow with the pool         | has    | 2     | 8    |
       | a node idle while others have free slots | has no | 2     | 32   |
+
+  Scenario Outline: The line for slots guards against <failure>
+    Given a router with policy "predictive" over 2 replicas
+    And calls wait for a slot: <waiting>
+    When the slots <freed> become free one after the other
+    Then the calls are placed in the order <order>
+
+    Examples:
+      | failure                                        | waiting                   | freed       | order |
+      | long work placed before a short question       | a:p6:9s b:p1:9s           | p-0 p-0     | b a   |
+      | a late deadline placed before an early one     | a:p1:9s b:p1:5s           | p-0 p-0     | b a   |
+      | a later call of equal order placed first       | a:p1:9s b:p1:9s           | p-0 p-0     | a b   |
+      | a slot left idle that only a later call can use | a:p1:9s:not-p-0 b:p6:9s  | p-0 p-1     | b a   |
+
+  Scenario: A newcomer of worse order does not overtake a waiting call
+    Guards against a waiting call that starves while new ones are placed.
+    Given a router with policy "predictive" over 1 replicas
+    And calls wait for a slot: a:p1:9s
+    When a slot of p-0 becomes free and a call of priority 6 asks before a wakes
+    Then the calls are placed in the order a
+
+  Scenario: A call cancelled just after it was placed gives its slot back
+    Guards against a slot that is never released.
+    Given a router with policy "predictive" over 1 replicas
+    And calls wait for a slot: a:p1:9s
+    When a slot of p-0 becomes free and a is cancelled before it wakes
+    Then p-0 has 1 free slot
--- a/egretshed/routing/tests/steps/routing_steps.py
+++ b/egretshed/routing/tests/steps/routing_steps.py
@@ -379,3 +379,81 @@
 def placed_after(context, after_s):
     assert not context.waited
     assert context.decision.replica.replica_id == "p-0"
+
+
+@given("calls wait for a slot: {waiting}")
+def calls_wait(context, waiting):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.placed = []
+    context.loop.run_until_complete(start_waiting(context, waiting))
+
+
+async def start_waiting(context, waiting):
+    context.borrower.changed = asyncio.Event()
+    for replica_id in context.ids:
+        context.borrower.set(replica_id, free=0)
+    context.tasks = {}
+    for text in waiting.split():
+        name, priority, seconds, *exclusion = text.split(":")
+        call = make_call(context)._replace(
+            request_id=name,
+            priority=int(priority[1:]),
+            remaining_s=float(seconds[:-1]),
+            excluded_replicas=frozenset(e.removeprefix("not-") for e in exclusion),
+        )
+        context.tasks[name] = asyncio.ensure_future(wait_placed(context, call))
+    await context.clock.settle()
+
+
+async def wait_placed(context, call):
+    decision = await context.router.choose_within(call, call.remaining_s)
+    context.placed.append(decision.call.request_id)
+
+
+@when("the slots {freed} become free one after the other")
+def slots_become_free(context, freed):
+    context.loop.run_until_complete(free_slots(context, freed.split()))
+
+
+async def free_slots(context, replica_ids):
+    for replica_id in replica_ids:
+        context.borrower.set(replica_id, free=1)
+        context.borrower.changed.set()
+        context.borrower.changed.clear()
+        await context.clock.advance(0.5)
+
+
+@when("a slot of p-0 becomes free and a call of priority 6 asks before a wakes")
+def newcomer_asks(context):
+    context.loop.run_until_complete(ask_late(context))
+
+
+async def ask_late(context):
+    context.borrower.set("p-0", free=1)
+    newcomer = make_call(context)._replace(request_id="new", priority=6)
+    task = asyncio.ensure_future(wait_placed(context, newcomer))
+    await context.clock.settle()
+    task.cancel()
+
+
+@when("a slot of p-0 becomes free and a is cancelled before it wakes")
+def cancelled_when_placed(context):
+    context.loop.run_until_complete(cancel_placed(context))
+
+
+async def cancel_placed(context):
+    context.borrower.set("p-0", free=1)
+    context.router._serve_line("p")
+    context.tasks["a"].cancel()
+    await context.clock.settle()
+
+
+@then("the calls are placed in the order {order}")
+def placed_in_order(context, order):
+    assert context.placed == order.split(), context.placed
+
+
+@then("{replica_id} has {count:d} free slot")
+def has_free(context, replica_id, count):
+    assert context.borrower.views[replica_id].free == count
