Admit only as many requests as each pool has room for

Cause: all requests of a burst started at once and waited half-run for the last stage, in the order in which they came there; after a fresh start they waited their whole deadline for slots that no owner would lend. Change: AdmissionQueue takes the capacity of each pool from the router, keeps the rest in its fair order, and asks for slots for them. An owner says for how long it lends nothing (LoanGrant.lends_after_ms); requests whose deadline is earlier are refused at once with a return time after it.

--- a/egretshed/admission/concurrency.py
+++ b/egretshed/admission/concurrency.py
@@ -1,7 +1,5 @@
 """How many admitted requests may run at once, adapted to the measured goodput."""
 
-from collections.abc import Callable
-
 from egretshed.environment import Environment
 
 WINDOW_S = 1.0
@@ -11,7 +9,7 @@
 DECREASE = 0.8
 INCREASE = 0.05
 # Running requests that wait for a slot are what makes the node ask owners for loans,
-# so a few run even if no slot is known to be free.
+# so a few run for each pool even if no slot is held.
 MIN_RUNNING = 4
 
 
@@ -19,12 +17,10 @@
     """Falls by a fifth after a window with many late answers, else grows slowly.
 
     The limit stays from `MIN_RUNNING` to `settings.admission.running_requests`.
-    `available` returns how many more requests could start on free slots.
     """
 
-    def __init__(self, env: Environment, available: Callable[[], int] | None = None):
+    def __init__(self, env: Environment):
         self._env = env
-        self._available = available
         self._most = env.settings.admission.running_requests
         self._least = min(MIN_RUNNING, self._most)
         self.limit = float(self._most)
@@ -37,8 +33,6 @@
     def free(self) -> int:
         """Return how many requests may start now."""
         limit = int(self.limit)
-        if self._available is not None:
-            limit = min(limit, max(self._least, self.running + self._available()))
         self._was_full |= self.running >= limit
         return max(0, limit - self.running)
 
--- a/egretshed/admission/entries.py
+++ b/egretshed/admission/entries.py
@@ -20,7 +20,10 @@
 
 
 class Entry:
-    """A request in the queue; `cost_s` is its expected time from start to end."""
+    """A request in the queue; `cost_s` is its expected time from start to end.
+
+    `pool` is that of its last stage, where requests that started too early would wait.
+    """
 
     __slots__ = ("cost_s", "deadline_at_s", "granted", "number", "request")
 
@@ -38,6 +41,10 @@
         self.cost_s = cost_s
         self.granted = granted
 
+    @property
+    def pool(self) -> str:
+        return self.request.stage_pools[-1] if self.request.stage_pools else ""
+
     def deadline_order(self) -> tuple[float, int]:
         return self.deadline_at_s, self.number
 
@@ -47,6 +54,7 @@
 
     def __init__(self, entry: Entry, started_s: float, on_release: Callable[..., None]):
         self.request = entry.request
+        self.pool = entry.pool
         self.cost_s = entry.cost_s
         self.deadline_at_s = entry.deadline_at_s
         self.started_s = started_s
--- a/egretshed/admission/fair_queue.py
+++ b/egretshed/admission/fair_queue.py
@@ -1,12 +1,18 @@
 """Queue ordered by priority, then weighted customer share, then earliest deadline.
 
-Within a priority each customer has a virtual time that rises by the expected cost of
-what was dispatched for it, divided by its share; the lowest goes next. A customer that
-was idle starts at the virtual time of the last dispatch, so it neither saves up
+Each pool has its own turn, so that requests for a full pool hold back no others.
+Within a priority and pool each customer has a virtual time that rises by the expected
+cost of what was dispatched for it, divided by its share; the lowest goes next. A
+customer that was idle starts at the virtual time of the last dispatch, so it neither
+saves up
 service nor waits behind a flood of another one.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import (
+    Callable,
+    Container,
+)
 
 from sortedcontainers import (
     SortedDict,
@@ -32,7 +38,7 @@
 
 
 class _Level:
-    """One priority: customers by virtual time and by backlog per share."""
+    """One priority and pool: customers by virtual time and by backlog per share."""
 
     def __init__(self) -> None:
         self.customers: dict[str, _Customer] = {}
@@ -64,6 +70,10 @@
         self._unlist(customer)
         self._take(customer, entry)
 
+    def first(self) -> Entry:
+        """Return the entry whose turn it is."""
+        return self.customers[self.by_turn[0][-1]].entries[0]
+
     def pop(self) -> Entry:
         customer = self.customers[self.by_turn[0][-1]]
         self._unlist(customer)
@@ -134,11 +144,8 @@
         return sum(level.backlog_s for level in self._levels.values())
 
     def add(self, entry: Entry) -> None:
-        request = entry.request
-        if request.priority not in self._levels:
-            self._levels[request.priority] = _Level()
-        share = self._share_of(request.customer_id)
-        self._levels[request.priority].add(entry, share)
+        level = self._levels.setdefault(_key(entry), _Level())
+        level.add(entry, self._share_of(entry.request.customer_id))
         self._by_deadline.add(entry)
 
     def remove(self, entry: Entry) -> bool:
@@ -146,17 +153,36 @@
         if entry not in self._by_deadline:
             return False
         self._by_deadline.remove(entry)
-        self._levels[entry.request.priority].remove(entry)
+        self._levels[_key(entry)].remove(entry)
         return True
 
-    def pop(self) -> Entry | None:
-        """Return the entry whose turn it is."""
-        for level in self._levels.values():
-            if level.by_turn:
-                entry = level.pop()
-                self._by_deadline.remove(entry)
-                return entry
-        return None
+    def pools(self) -> set[str]:
+        """Return the pools that queued entries wait for."""
+        return {pool for (_, pool), level in self._levels.items() if level.by_turn}
+
+    def queued_for(self, pool: str) -> list[Entry]:
+        return [entry for entry in self._by_deadline if entry.pool == pool]
+
+    def pop(self, full_pools: Container[str] = ()) -> Entry | None:
+        """Return the entry whose turn it is, passing over `full_pools`.
+
+        Of pools with entries of the same priority, the earliest deadline goes first.
+        """
+        best: _Level | None = None
+        best_order = (math.inf, (math.inf, 0))
+        for (priority, pool), level in self._levels.items():
+            if priority > best_order[0]:
+                break
+            if not level.by_turn or pool in full_pools:
+                continue
+            order = (priority, level.first().deadline_order())
+            if order < best_order:
+                best, best_order = level, order
+        if best is None:
+            return None
+        entry = best.pop()
+        self._by_deadline.remove(entry)
+        return entry
 
     def pop_expired(self, now_s: float) -> Entry | None:
         """Return an entry that could not end in time even if it started now."""
@@ -168,26 +194,33 @@
 
     def pop_worst(self) -> Entry:
         """Return the entry to drop: lowest priority, most over-share customer."""
-        level = next(lv for lv in reversed(self._levels.values()) if lv.by_turn)
-        entry = level.worst()
+        levels = [(key, lv) for key, lv in self._levels.items() if lv.by_turn]
+        lowest = max(priority for (priority, _), _ in levels)
+        candidates = [lv for (priority, _), lv in levels if priority == lowest]
+        entry = max(candidates, key=lambda lv: lv.by_excess[-1]).worst()
         self.remove(entry)
         return entry
 
     def ahead_s(self, entry: Entry) -> float:
         """Return the expected run time of what goes before a queued `entry`.
 
+        Entries for other pools are left out, since they use other slots.
+
         Others of the same priority get at most their share while the customer's own
         earlier entries run. This bound avoids a pass over all customers.
         """
-        priority = entry.request.priority
         higher_s = sum(
             level.backlog_s
-            for number, level in self._levels.items()
-            if number < priority
+            for (number, pool), level in self._levels.items()
+            if number < entry.request.priority and pool == entry.pool
         )
-        level = self._levels[priority]
+        level = self._levels[_key(entry)]
         customer = level.customers[entry.request.customer_id]
         position = customer.entries.index(entry)
         own_s = customer.backlog_s * position / len(customer.entries) + entry.cost_s
         fair_s = own_s * level.active_share / customer.share
         return higher_s + max(0.0, min(level.backlog_s, fair_s) - entry.cost_s)
+
+
+def _key(entry: Entry) -> tuple[int, str]:
+    return entry.request.priority, entry.pool
--- a/egretshed/admission/queue.py
+++ b/egretshed/admission/queue.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections import Counter
 from typing import Protocol
 
-from egretshed.admission.concurrency import ConcurrencyLimit
+from egretshed.admission.concurrency import (
+    MIN_RUNNING,
+    ConcurrencyLimit,
+)
 from egretshed.admission.entries import (
     AdmissionRequest,
     AdmissionTicket,
@@ -27,9 +30,25 @@
     current: Configuration
 
 
+class Capacity(Protocol):
+    """What this node can run on each pool; see `routing.capacity.PoolCapacities`."""
+
+    def room(self, pool: str) -> int:
+        """Return how many requests with their last stage at the pool may run."""
+
+    def lends_after_s(self, pool: str) -> float:
+        """Return for how long no slot of the pool can be had."""
+
+    def ask(self, pool: str) -> None:
+        """Ask for more slots of the pool."""
+
+
 class AdmissionQueue:
     """Admits requests in the order of `FairQueue`, up to `ConcurrencyLimit`.
 
+    With a `capacity`, only as many run for a pool as it has room for, so that the rest
+    wait here in a fair order and not half-run at their last stage.
+
     Example::
 
         ticket = await queue.admit(request)
@@ -44,7 +63,7 @@
         env: Environment,
         configuration: ConfigurationSource,
         stage_times: StageTimes,
-        available: Callable[[], int] | None = None,
+        capacity: Capacity | None = None,
     ):
         self._env = env
         self._configuration = configuration
@@ -52,7 +71,9 @@
         self._kind_times = StageTimes(env)
         self._measured_kinds: set[str] = set()
         self._queue = FairQueue(self._share_of)
-        self.concurrency = ConcurrencyLimit(env, available)
+        self.concurrency = ConcurrencyLimit(env)
+        self._capacity = capacity
+        self._running: Counter[str] = Counter()  # By pool of the last stage.
         self._returns = ReturnTimes(env)
         self._numbers = itertools.count()
         self._refused = env.metrics.counter(
@@ -73,10 +94,12 @@
     async def admit(self, request: AdmissionRequest) -> AdmissionTicket:
         """Return when the request may run.
 
-        Raises `NotRun` with `reason` (`too_late`, `queue_full`, `deadline_in_queue`)
-        and `retry_after_s` in seconds.
+        Raises `NotRun` with `reason` (`too_late`, `queue_full`, `deadline_in_queue`,
+        `no_slots`) and `retry_after_s` in seconds.
         """
         entry = self._make_entry(request)
+        if self._lends_too_late(entry):
+            raise self._refuse(entry, "no_slots")
         self._queue.add(entry)
         if not self._can_end_in_time(entry):
             self._queue.remove(entry)
@@ -116,6 +139,26 @@
         wait_s = ahead_s / int(self.concurrency.limit)
         return wait_s + entry.cost_s <= entry.request.deadline_s
 
+    def _lends_too_late(self, entry: Entry) -> bool:
+        """Return whether no owner lends a slot of any stage within the deadline."""
+        left_s = entry.deadline_at_s - self._env.clock.monotonic_s()
+        return self._lends_after_s(entry) >= left_s
+
+    def _lends_after_s(self, entry: Entry) -> float:
+        if self._capacity is None:
+            return 0.0
+        pools = entry.request.stage_pools
+        return max(map(self._capacity.lends_after_s, pools), default=0.0)
+
+    def _full_pools(self) -> set[str]:
+        if self._capacity is None:
+            return set()
+        return {pool for pool in self._queue.pools() if self._room(pool) <= 0}
+
+    def _room(self, pool: str) -> int:
+        least = min(MIN_RUNNING, self._env.settings.admission.running_requests)
+        return max(least, self._capacity.room(pool)) - self._running[pool]
+
     def _may_probe(self) -> bool:
         """Whether a request runs whatever its estimate.
 
@@ -127,21 +170,39 @@
         now_s = self._env.clock.monotonic_s()
         while (expired := self._queue.pop_expired(now_s)) is not None:
             self._drop(expired, "deadline_in_queue")
+        self._drop_without_slots()
+        full = self._full_pools()
         free = self.concurrency.free() if len(self._queue) else 0
-        while free > 0 and (entry := self._queue.pop()) is not None:
+        while free > 0 and (entry := self._queue.pop(full)) is not None:
             is_late = now_s + entry.cost_s > entry.deadline_at_s
             if is_late and not self._may_probe():
                 self._drop(entry, "deadline_in_queue")
             elif not entry.granted.done():
                 self._grant(entry, now_s)
                 free -= 1
+                if self._capacity is not None and self._room(entry.pool) <= 0:
+                    full.add(entry.pool)
+        for pool in full & self._queue.pools():
+            self._capacity.ask(pool)
         self._queued.set(len(self._queue))
 
+    def _drop_without_slots(self) -> None:
+        """Refuse queued requests once their owners say that they lend too late."""
+        if self._capacity is None:
+            return
+        for pool in self._queue.pools():
+            if not self._capacity.lends_after_s(pool):
+                continue
+            for entry in filter(self._lends_too_late, self._queue.queued_for(pool)):
+                self._queue.remove(entry)
+                self._drop(entry, "no_slots")
+
     def _grant(self, entry: Entry, now_s: float) -> None:
         running = self.concurrency.running
         most = self._env.settings.admission.running_requests
         require(self._env, running < most, "P2_admission_limit", running=running)
         self.concurrency.started()
+        self._running[entry.pool] += 1
         entry.granted.set_result(AdmissionTicket(entry, now_s, self._release))
 
     def _release(self, ticket: AdmissionTicket, completed: bool) -> None:
@@ -150,6 +211,7 @@
         if completed:
             self._kind_times.observe(ticket.request.kind, took_s, took_s)
             self._measured_kinds.add(ticket.request.kind)
+        self._running[ticket.pool] -= 1
         self.concurrency.ended(completed and now_s <= ticket.deadline_at_s)
         self._dispatch()
 
@@ -169,12 +231,11 @@
     def _refuse(self, entry: Entry, reason: str) -> NotRun:
         self._refused.labels(reason).inc()
         slots = int(self.concurrency.limit)
+        after_s = self._returns.next_s(self._queue.backlog_s, entry.cost_s, slots)
         return NotRun(
             "the request was refused before it started",
             reason=reason,
-            retry_after_s=self._returns.next_s(
-                self._queue.backlog_s, entry.cost_s, slots
-            ),
+            retry_after_s=round(after_s + self._lends_after_s(entry), 3),
         )
 
     def _share_of(self, customer_id: str) -> float:
--- a/egretshed/admission/tests/admission.feature
+++ b/egretshed/admission/tests/admission.feature
@@ -75,6 +75,40 @@
       | 0         | 4       |
       | 7         | 7       |
 
+  # Guards against queued requests that make no owner lend more.
+  Scenario: Requests that wait for a full pool ask for more of its slots
+    Given 50 running requests at most and 7 slots available
+    When customer "a" queues 20 requests with deadline 60 s
+    Then more slots of the pool were asked for
+
+  # Guards against requests for one full pool that hold back those for another.
+  Scenario: A full pool holds back only its own requests
+    Given 50 running requests at most and 7 slots available
+    When customer "a" queues 20 requests with deadline 60 s
+    And customer "b" queues 4 requests for pool "other"
+    Then the answers of "b" are admitted 4
+    And 11 requests run
+
+  # Guards against a request that waits its whole deadline for slots nobody lends.
+  Scenario Outline: Requests while no owner lends for <seconds> s are <answers>
+    Given 50 running requests at most and 0 slots available
+    And no owner lends slots for <seconds> s
+    When customer "a" queues 6 requests with deadline 5 s
+    Then the answers of "a" are <answers>
+
+    Examples:
+      | seconds | answers              |
+      | 6       | no_slots 6           |
+      | 4       | admitted 4 waiting 2 |
+
+  # Guards against a return time before any owner lends.
+  Scenario: Queued requests are refused once it is known that nothing is lent in time
+    Given 50 running requests at most and 0 slots available
+    When customer "a" queues 6 requests with deadline 5 s
+    And the owners say that they lend nothing for 6 s
+    Then the answers of "a" are admitted 4 no_slots 2
+    And every refusal names a return time from 6 s on
+
   # Guards against a slot that leaks when the caller gives up.
   Scenario: Cancelled admissions leave nothing behind
     Given 1 running requests at most, a queue of 5, calls of 0.01 s
--- a/egretshed/admission/tests/steps/admission_steps.py
+++ b/egretshed/admission/tests/steps/admission_steps.py
@@ -27,10 +27,26 @@
 )
 
 
+class FakeCapacity:
+    def __init__(self, rooms):
+        self.rooms = rooms
+        self.lends_after = Counter()
+        self.asked = Counter()
+
+    def room(self, pool):
+        return self.rooms.get(pool, 0)
+
+    def lends_after_s(self, pool):
+        return self.lends_after[pool]
+
+    def ask(self, pool):
+        self.asked[pool] += 1
+
+
 class Node:
     """A queue on a manual clock with the admissions asked of it."""
 
-    def __init__(self, slots, room=1000, cost_s=0.01, shares=(), available=None):
+    def __init__(self, slots, room=1000, cost_s=0.01, shares=(), capacity=None):
         self.loop = asyncio.new_event_loop()
         self.clock = ManualClock()
         admission = {"running_requests": slots, "queue_requests": room}
@@ -41,17 +57,18 @@
             current=EMPTY_CONFIGURATION._replace(customers=customers)
         )
         times = StageTimes(env)
-        for _ in range(200):
-            times.observe("pool", cost_s, cost_s)
-        self.queue = AdmissionQueue(env, source, times, available)
+        for pool in ("pool", "other"):
+            for _ in range(200):
+                times.observe(pool, cost_s, cost_s)
+        self.queue = AdmissionQueue(env, source, times, capacity)
         self.loop.create_task(self.queue.run())
         self.tasks = []
         self.order = []
         self.tickets = []
 
-    def submit(self, name, customer, deadline_s, priority=5):
+    def submit(self, name, customer, deadline_s, priority=5, pool="pool"):
         request = AdmissionRequest(
-            name, customer, "kind", priority, deadline_s, ("pool",)
+            name, customer, "kind", priority, deadline_s, (pool,)
         )
         task = self.loop.create_task(self._admit(request))
         self.tasks.append((customer, task))
@@ -116,10 +133,7 @@
 
 @given("{slots:d} running requests at most and {count:d} slots available")
 def node_with_available(context, slots, count):
-    def free_slots():
-        return max(0, count - context.node.queue.concurrency.running)
-
-    use_node(context, Node(slots, available=free_slots))
+    use_node(context, Node(slots, capacity=FakeCapacity({"pool": count})))
 
 
 @given('a request of customer "x" runs')
@@ -243,3 +257,28 @@
 @then("{count:d} requests are queued")
 def queued(context, count):
     assert context.node.queue.queued == count
+
+
+@when('customer "{name}" queues {count:d} requests for pool "{pool}"')
+def queue_for_pool(context, name, count, pool):
+    for index in range(count):
+        context.node.submit(f"{name}{index}", name, 10.0, pool=pool)
+    context.node.settle()
+
+
+@given("no owner lends slots for {seconds:g} s")
+@when("the owners say that they lend nothing for {seconds:g} s")
+def lends_nothing(context, seconds):
+    context.node.queue._capacity.lends_after["pool"] = seconds
+    context.node.settle(0.1)
+
+
+@then("more slots of the pool were asked for")
+def slots_asked(context):
+    assert context.node.queue._capacity.asked["pool"] > 0
+
+
+@then("every refusal names a return time from {least_s:g} s on")
+def returns_after(context, least_s):
+    times_s = context.node.return_times()
+    assert times_s and min(times_s) >= least_s, times_s
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -117,7 +117,9 @@
             env, self.configuration, self.slots.borrower, self.membership, self.backends
         )
         self.stage_times = StageTimes(env)
-        self.admission = AdmissionQueue(env, self.configuration, self.stage_times)
+        self.admission = AdmissionQueue(
+            env, self.configuration, self.stage_times, self.router.capacities
+        )
         self.claims = ClaimService(env, self.platform, self._is_alive)
         self.runner = RequestRunner(env, self._runner_services())
         self.streams = StreamPeers(env, self.peers, self.runner)
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -1283,6 +1283,7 @@
      - warm
      - load_age_ms
      - not_owner
+     - lends_after_ms
 
     """
 
@@ -1296,10 +1297,11 @@
         'warm',
         'load_age_ms',
         'not_owner',
+        'lends_after_ms',
     )
 
 
-    def __init__(self, replica_id=None, loan_id=None, slots=None, duration_ms=None, limit_slots=None, in_flight_calls=None, warm=None, load_age_ms=None, not_owner=None,):
+    def __init__(self, replica_id=None, loan_id=None, slots=None, duration_ms=None, limit_slots=None, in_flight_calls=None, warm=None, load_age_ms=None, not_owner=None, lends_after_ms=None,):
         self.replica_id = replica_id
         self.loan_id = loan_id
         self.slots = slots
@@ -1309,6 +1311,7 @@
         self.warm = warm
         self.load_age_ms = load_age_ms
         self.not_owner = not_owner
+        self.lends_after_ms = lends_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1364,6 +1367,11 @@
                     self.not_owner = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.lends_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1410,6 +1418,10 @@
             oprot.writeFieldBegin('not_owner', TType.BOOL, 9)
             oprot.writeBool(self.not_owner)
             oprot.writeFieldEnd()
+        if self.lends_after_ms is not None:
+            oprot.writeFieldBegin('lends_after_ms', TType.I32, 10)
+            oprot.writeI32(self.lends_after_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2860,6 +2872,7 @@
     (7, TType.BOOL, 'warm', None, None, ),  # 7
     (8, TType.I32, 'load_age_ms', None, None, ),  # 8
     (9, TType.BOOL, 'not_owner', None, None, ),  # 9
+    (10, TType.I32, 'lends_after_ms', None, None, ),  # 10
 )
 all_structs.append(LoanReply)
 LoanReply.thrift_spec = (
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -102,6 +102,7 @@
   7: required bool warm,
   8: optional i32 load_age_ms,
   9: optional bool not_owner,
+  10: optional i32 lends_after_ms, // nothing can be lent to anyone before that
 }
 
 struct LoanReply { 1: required list<LoanGrant> grants }
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -378,10 +378,12 @@
             return await self.services.router.choose_within(call, remaining_s)
         except NoReplicaAvailable as error:
             kind = RequestFailed if run.stream.sent_to_backend else NotRun
+            after_s = error.fields.get("lends_after_s", 0.0)
             raise kind(
                 f"no replica of {stage.pool} is available",
                 reason="no_replica",
                 stage=stage.name,
+                retry_after_s=after_s + self.env.random.uniform(*REFUSAL_RETURN_S),
             ) from error
 
     async def _attempt(
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -18,6 +18,7 @@
     NoReplicaAvailable,
 )
 from egretshed.logs import log_event
+from egretshed.routing.capacity import PoolCapacities
 from egretshed.routing.circuit import Circuit
 from egretshed.routing.decision_log import (
     Ranking,
@@ -67,6 +68,7 @@
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
         self._line = WaitingLine()
+        self.capacities = PoolCapacities(env, borrower, self._usable_ids)
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
 
     def choose(self, call: StageCall) -> RoutingDecision:
@@ -115,10 +117,13 @@
             left_s = ends_s - clock.monotonic_s()
             if self._place(waiting, call, ranking):
                 return waiting.placed.result()
-            if left_s <= 0 or not ranking.scored:
+            lends_after_s = self.capacities.lends_after_s(call.pool)
+            if left_s <= lends_after_s or not ranking.scored:
                 log_decision(self.env, call, ranking, None)
                 count_refused(self.env, call)
-                raise NoReplicaAvailable(pool=call.pool, lost=ranking.lost)
+                raise NoReplicaAvailable(
+                    pool=call.pool, lost=ranking.lost, lends_after_s=lends_after_s
+                )
             # Ranks anew each period: other replicas may have slots by then.
             period_s = min(left_s, self.env.settings.slots.renew_period_s)
             await self._until_slot_or_placed(waiting, ranking.wanted(), period_s)
@@ -208,15 +213,11 @@
         pool = self.configuration.current.pools.get(call.pool)
         if pool is None:
             raise NoReplicaAvailable(f"unknown pool {call.pool!r}", pool=call.pool)
-        lost = {}
-        usable = []
-        for replica in pool.replicas:
-            reason = self._why_not(call, replica)
-            if reason:
-                lost[replica.replica_id] = reason
-            else:
-                usable.append(self._candidate(call, pool, replica))
-        usable = self._own_part(call, usable, lost)
+        lost: dict[str, str] = {}
+        usable = [
+            self._candidate(call, pool, replica)
+            for replica in self._usable(call, pool, lost)
+        ]
         if not usable:
             return Ranking([], lost)
         scored = self._policy.rank(call, usable, self.env.random)
@@ -225,19 +226,40 @@
         )
         return Ranking(scored, lost)
 
+    def _usable_ids(self, name: str) -> list[str]:
+        """Return the replicas of a pool that this node may use now."""
+        pool = self.configuration.current.pools.get(name)
+        if pool is None:
+            return []
+        call = StageCall("", "", "", "", name, 0.0)
+        return [replica.replica_id for replica in self._usable(call, pool, {})]
+
+    def _usable(
+        self, call: StageCall, pool: Pool, lost: dict[str, str]
+    ) -> list[Replica]:
+        """Return the replicas that may get the call; add why others may not."""
+        usable = []
+        for replica in pool.replicas:
+            reason = self._why_not(call, replica)
+            if reason:
+                lost[replica.replica_id] = reason
+            else:
+                usable.append(replica)
+        return self._own_part(call, usable, lost)
+
     def _own_part(
-        self, call: StageCall, usable: list[Candidate], lost: dict[str, str]
-    ) -> list[Candidate]:
+        self, call: StageCall, usable: list[Replica], lost: dict[str, str]
+    ) -> list[Replica]:
         """Keep this node's part of a large pool, doubled by each call not placed."""
         size = PART_REPLICAS << min(self._short[call.pool], MAX_DOUBLINGS)
         if len(usable) <= size:
             return usable
         own = self.env.identity.node_id
         ordered = sorted(
-            usable, key=lambda item: _digest(f"{own}/{item.replica.replica_id}")
+            usable, key=lambda replica: _digest(f"{own}/{replica.replica_id}")
         )
-        for item in ordered[size:]:
-            lost[item.replica.replica_id] = "other_part"
+        for replica in ordered[size:]:
+            lost[replica.replica_id] = "other_part"
         return ordered[:size]
 
     def _why_not(self, call: StageCall, replica: Replica) -> str:
--- a/egretshed/slots/borrowed.py
+++ b/egretshed/slots/borrowed.py
@@ -38,6 +38,7 @@
         self.in_flight = 0
         self.warm = False
         self.load_seen_s = -float("inf")
+        self.lends_from_s = -float("inf")
 
     def held(self, now_s: float) -> int:
         return self.slots if now_s < self.expires_s else 0
@@ -137,6 +138,7 @@
             in_flight=self.in_flight,
             warm=self.warm,
             load_age_s=now_s - self.load_seen_s,
+            lends_after_s=max(0.0, self.lends_from_s - now_s),
         )
 
     def _note_load(self, grant: LoanGrant, sent_s: float) -> None:
@@ -144,3 +146,4 @@
         self.in_flight = grant.in_flight_calls
         self.warm = grant.warm
         self.load_seen_s = sent_s - (grant.load_age_ms or 0) / 1000
+        self.lends_from_s = sent_s + (grant.lends_after_ms or 0) / 1000
--- a/egretshed/slots/lending.py
+++ b/egretshed/slots/lending.py
@@ -183,8 +183,14 @@
             in_flight_calls=state.report.in_flight if state.report else 0,
             warm=state.warmth.state == "warm",
             load_age_ms=min(MAX_LOAD_AGE_MS, math.ceil(age_s * 1000)),
+            lends_after_ms=math.ceil(self._lends_after_s(state, pool) * 1000) or None,
         )
 
+    def _lends_after_s(self, state: OwnedState, pool: Pool) -> float:
+        now_s = self.env.clock.monotonic_s()
+        longest_s = longest_call_s(self.configuration.current)
+        return state.window.lends_after_s(state.warmth.limit(pool), now_s, longest_s)
+
     def _revoke(self, state: OwnedState, pool: Pool) -> None:
         now_s = self.env.clock.monotonic_s()
         if now_s < state.window.resumes_s:
--- a/egretshed/slots/records.py
+++ b/egretshed/slots/records.py
@@ -31,7 +31,8 @@
     """What this node knows of a replica.
 
     `limit` and `in_flight` (calls, all borrowers) are the owner's, `load_age_s` their
-    age; it is infinite if the owner has not answered yet.
+    age; it is infinite if the owner has not answered yet. `lends_after_s` is how long
+    the owner will lend nothing to anyone, as far as it has said.
     """
 
     replica_id: str
@@ -42,6 +43,7 @@
     in_flight: int = 0
     warm: bool = False
     load_age_s: float = float("inf")
+    lends_after_s: float = 0.0
 
 
 class OwnedReplica(NamedTuple):
--- a/egretshed/slots/share.py
+++ b/egretshed/slots/share.py
@@ -59,6 +59,15 @@
         self.record(now_s, None)
         self.resumes_s = now_s + self.wait_s
 
+    def lends_after_s(self, limit: int, now_s: float, longest_call_s: float) -> float:
+        """Return for how long nothing can be lent at the least.
+
+        A share that rounds down to nothing rises only after the wait.
+        """
+        if now_s < self.resumes_s:
+            return self.resumes_s - now_s
+        return 0.0 if self.lendable(limit, now_s, longest_call_s) else self.wait_s
+
     def lendable(self, limit: int, now_s: float, longest_call_s: float) -> int:
         """Return the slots that may be lent now."""
         if now_s < self.resumes_s:
