Keep the slots of abandoned calls until their servers have ended them

An attempt that failed by silence was not cancelled at all, and one at a server that was 40 times slower ran on until its deadline. Change: AbandonedCalls cancels each call that may still run until its server says that it has ended, and then gives the slot back. CallPace finds an attempt that cannot end in time at its pace, if that is 4 times slower than usual and another server could still complete it; it is retried there.

--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -207,6 +207,10 @@
     code = "backend_silent"
 
 
+class BackendSlow(BackendError):
+    code = "backend_slow"
+
+
 class StaleFencingNumber(EgretshedError):
     """The server holds a higher fencing number. Field: `highest`."""
 
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -39,10 +39,16 @@
 )
 from egretshed.invariants import require
 from egretshed.logs import log_event
+from egretshed.requests.abandon import AbandonedCalls
 from egretshed.requests.outcomes import (
     complete_outcome,
     outcome_of,
 )
+from egretshed.requests.pace import (
+    CallPace,
+    UsualPaces,
+    within_pace,
+)
 from egretshed.requests.stages import (
     PipelineState,
     cache_prefix,
@@ -105,6 +111,8 @@
         self.env = env
         self.services = services
         self.store = StreamStore(env)
+        self.abandoned = AbandonedCalls(env.clock, services.router, services.backends)
+        self._paces = UsualPaces()
         self._runs: dict[str, _Run] = {}
         self._attempt_numbers = itertools.count(1)
         self._refusal = ""
@@ -394,13 +402,18 @@
             await self._claim(run)
             result = await self._call(run, stage, state, form, decision)
         except EgretshedError as error:
-            router.observe(decision, None, error)
+            if isinstance(error, BackendError) and may_have_run(error):
+                self.abandoned.add(decision, error)
+            else:
+                router.observe(decision, None, error)
             raise
         except asyncio.CancelledError:
-            router.observe(decision, None, RequestCancelled())
-            self._cancel_at_backend(decision)
+            self.abandoned.add(decision, RequestCancelled())
             raise
         router.observe(decision, result, None)
+        self._paces.observe(
+            stage.pool, result.generated_tokens, result.total_s - result.first_token_s
+        )
         self.services.stage_times.observe(
             stage.pool, result.total_s, result.first_token_s
         )
@@ -440,10 +453,24 @@
         run.stream.sent_to_backend = True
         backend = self.services.backends.get(decision.replica.replica_id)
 
+        pace = CallPace(
+            call.payload.get("max_tokens", 0),
+            run.end_s,
+            self._paces.token_s(stage.pool),
+        )
+
         def on_tokens(event: TokenEvent) -> None:
+            pace.note(len(event.tokens), self.env.clock.monotonic_s())
             self._on_tokens(run, attempt_id, event)
 
-        result = await backend.call(call, on_tokens)
+        def could_move() -> bool:
+            return self._could_move(run, stage, pace)
+
+        work = asyncio.ensure_future(backend.call(call, on_tokens))
+        if pace.usual_token_s is None:
+            result = await work
+        else:
+            result = await within_pace(self.env.clock, work, pace, could_move)
         require(
             self.env,
             result.attempt_id == run.attempt_id,
@@ -452,6 +479,15 @@
         )
         return result
 
+    def _could_move(self, run: _Run, stage: Stage, pace: CallPace) -> bool:
+        """Whether another server of usual pace could complete the call in time."""
+        if not run.submission.kind.repeatable:
+            return False
+        times = self.services.stage_times
+        usual_s = times.estimate_first_token_s(stage.pool)
+        usual_s += pace.expected_tokens * pace.usual_token_s
+        return self.env.clock.monotonic_s() + usual_s <= run.end_s
+
     def _on_tokens(self, run: _Run, attempt_id: str, event: TokenEvent) -> None:
         """Keep tokens of the current attempt; drop those of an abandoned one."""
         if run.attempt_id != attempt_id or run.stream.finished:
@@ -461,11 +497,6 @@
             return
         run.stream.append_tokens(event.tokens)
 
-    def _cancel_at_backend(self, decision: RoutingDecision) -> None:
-        backend = self.services.backends.get(decision.replica.replica_id)
-        task = asyncio.create_task(backend.cancel(decision.call.attempt_id))
-        task.add_done_callback(lambda t: t.cancelled() or t.exception())
-
     def _next_attempt_id(self) -> str:
         identity = self.env.identity
         number = next(self._attempt_numbers)
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -164,6 +164,18 @@
         error: EgretshedError | None,
     ) -> None:
         """Release the slot and learn from the call; neither given means cancelled."""
+        self.release(decision, self.judge(decision, result, error))
+
+    def release(self, decision: RoutingDecision, observation: CallObservation) -> None:
+        self.borrower.release(decision.slot, observation)
+
+    def judge(
+        self,
+        decision: RoutingDecision,
+        result: BackendResult | None,
+        error: EgretshedError | None,
+    ) -> CallObservation:
+        """Learn from the call; return what to release its slot with."""
         replica_id = decision.replica.replica_id
         seems_cold = isinstance(error, BackendRejected)
         if result is not None:
@@ -173,15 +185,12 @@
             log_event(self.env.logger, "replica_seems_cold", replica_id=replica_id)
         elif result is not None:
             self.hints.note(replica_id, decision.call.prefix)
-        self._judge(decision, result, error)
-        self.borrower.release(
-            decision.slot,
-            CallObservation(
-                completed=result is not None,
-                first_token_s=result.first_token_s if result else 0.0,
-                total_s=result.total_s if result else 0.0,
-                seems_cold=seems_cold,
-            ),
+        self._note_on_circuit(decision, result, error)
+        return CallObservation(
+            completed=result is not None,
+            first_token_s=result.first_token_s if result else 0.0,
+            total_s=result.total_s if result else 0.0,
+            seems_cold=seems_cold,
         )
 
     async def run(self) -> None:
@@ -327,7 +336,7 @@
         times.observe(result)
         return False
 
-    def _judge(self, decision, result, error) -> None:
+    def _note_on_circuit(self, decision, result, error) -> None:
         circuit = self._circuit(decision.replica)
         if result is not None:
             circuit.note_success()
