Compare first tokens with those of prompts of the same length

Cause: the first long prompts after short ones made a warm server seem cold. Change: the recent highest first token time is kept by prompt length class.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -110,8 +110,14 @@
         exits = await cluster.stop()
     observed = measured.observed._replace(exits=exits)
     breaches = broken_promises(observed)
-    bodies = {"requests": observed.callers, "breaches": [b._asdict() for b in breaches]}
-    _write(folder / "records.json", bodies)
+    _write(
+        folder / "records.json",
+        {
+            "requests": observed.callers,
+            "servers": observed.servers,
+            "breaches": [breach._asdict() for breach in breaches],
+        },
+    )
     row = make_row(measured, capacity.most_in_time(plan), breaches, cost_rates(cluster))
     return {**spec._asdict(), "deployment": Path(spec.deployment).name, **row}
 
--- a/egretshed/routing/latency.py
+++ b/egretshed/routing/latency.py
@@ -4,8 +4,10 @@
 
 WEIGHT = 0.1
 MIN_CALLS = 5
-# Long prompts take many times the time of short ones, so a first token is compared with
-# the latest of recent calls. A server that loads weights again goes far beyond that.
+# A first token is compared with the latest of recent calls with prompts of about the
+# same length, since long ones take many times the time of short ones: without that, the
+# first long prompts after short ones made a warm server seem cold. A server that loads
+# weights again goes far beyond that.
 LATE_FACTOR = 3.0
 # Below this, a late first token may be an effect of scheduling on this node.
 LATE_MIN_S = 0.05
@@ -18,31 +20,47 @@
 LOSS_WEIGHT = 0.05
 
 
+class HighMark:
+    """Recent highest first token time of prompts of about the same length."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.high_s = 0.0
+
+    def observe(self, first_token_s: float) -> None:
+        self.calls += 1
+        self.high_s = max(self.high_s * HIGH_DECAY, first_token_s)
+
+
 class ReplicaTimes:
     """Moving averages of one replica's calls and the recent highest, in seconds."""
 
     def __init__(self) -> None:
         self.calls = 0
         self.first_token_s = 0.0
-        self.first_token_high_s = 0.0
         self.total_s = 0.0
+        self._marks: dict[int, HighMark] = {}
 
     def observe(self, result: BackendResult) -> None:
         self.calls += 1
         weight = max(WEIGHT, 1 / self.calls)
         self.first_token_s += (result.first_token_s - self.first_token_s) * weight
         self.total_s += (result.total_s - self.total_s) * weight
-        kept_s = self.first_token_high_s * HIGH_DECAY
-        self.first_token_high_s = max(kept_s, result.first_token_s)
+        self._mark(result).observe(result.first_token_s)
 
-    def observe_late(self) -> None:
+    def observe_late(self, result: BackendResult) -> None:
         """Raise the high mark, so that a server slow for good is not cold for good."""
-        self.first_token_high_s *= 2
+        self._mark(result).high_s *= 2
 
-    def is_late(self, first_token_s: float) -> bool:
-        if self.calls < MIN_CALLS or first_token_s < LATE_MIN_S:
+    def is_late(self, result: BackendResult) -> bool:
+        mark = self._mark(result)
+        if mark.calls < MIN_CALLS or result.first_token_s < LATE_MIN_S:
             return False
-        return first_token_s > LATE_FACTOR * self.first_token_high_s
+        return result.first_token_s > LATE_FACTOR * mark.high_s
+
+    def _mark(self, result: BackendResult) -> HighMark:
+        """Return the mark of prompts between two powers of 2 in length."""
+        return self._marks.setdefault(result.prompt_tokens.bit_length(), HighMark())
 
 
 class PrefixLosses:
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -252,8 +252,8 @@
         """Return the sign of a cold server in the result, or learn its times."""
         replica_id = decision.replica.replica_id
         times = self._times.setdefault(replica_id, ReplicaTimes())
-        if times.is_late(result.first_token_s):
-            times.observe_late()
+        if times.is_late(result):
+            times.observe_late(result)
             return "first_token_late"
         losses = self._losses.setdefault(replica_id, PrefixLosses())
         if losses.seems_empty(result, decision.prefix_match):
--- a/egretshed/routing/tests/routing.feature
+++ b/egretshed/routing/tests/routing.feature
@@ -80,6 +80,7 @@
       | failure                                 | end                        | seems             |
       | load on a server that reloads weights   | a first token after 3 s    | seems cold        |
       | a cold limit after ordinary jitter      | a first token after 0.4 s  | does not seem cold |
+      | a cold limit after the first long prompt | a first token of 3000 prompt tokens after 3 s | does not seem cold |
       | load on a server that refuses work      | a rejection                | seems cold        |
       | a cold limit for one evicted prefix     | nothing cached as expected | does not seem cold |
       | a cold limit for a prefix never cached  | nothing cached, unexpected | does not seem cold |
--- a/egretshed/routing/tests/steps/routing_steps.py
+++ b/egretshed/routing/tests/steps/routing_steps.py
@@ -262,8 +262,10 @@
         context.router.hints.note("p-0", PREFIX)
     decision = context.router.choose(make_call(context))
     result = error = None
-    if end.startswith("a first token after"):
+    if end.startswith("a first token"):
         result = make_result(decision, float(end.split()[-2]))
+        if "3000 prompt tokens" in end:
+            result = result._replace(prompt_tokens=3000)
     elif end.startswith("nothing cached"):
         result = make_result(decision, 0.2, cached_tokens=0)
     elif end == "a rejection":
