--- a/egretshed/admission/queue.py
+++ b/egretshed/admission/queue.py
@@ -15,6 +15,7 @@
     Entry,
 )
 from egretshed.admission.fair_queue import FairQueue
+from egretshed.admission.first_come import FirstComeQueue
 from egretshed.admission.return_times import ReturnTimes
 from egretshed.configuration.schema import Configuration
 from egretshed.environment import Environment
@@ -70,7 +71,10 @@
         self._stage_times = stage_times
         self._kind_times = StageTimes(env)
         self._measured_kinds: set[str] = set()
-        self._queue = FairQueue(self._share_of)
+        self._first_come = env.settings.admission.first_come
+        self._queue = (
+            FirstComeQueue() if self._first_come else FairQueue(self._share_of)
+        )
         self.concurrency = ConcurrencyLimit(env)
         self._capacity = capacity
         self._running: Counter[str] = Counter()  # By pool of the last stage.
@@ -98,14 +102,11 @@
         `no_slots`) and `retry_after_s` in seconds.
         """
         entry = self._make_entry(request)
-        if self._lends_too_late(entry):
+        if not self._first_come and self._lends_too_late(entry):
             raise self._refuse(entry, "no_slots")
         self._queue.add(entry)
-        if not self._can_end_in_time(entry):
-            self._queue.remove(entry)
-            raise self._refuse(entry, "too_late")
-        if len(self._queue) > self._env.settings.admission.queue_requests:
-            self._drop(self._queue.pop_worst(), "queue_full")
+        if not self._first_come:
+            self._refuse_beyond_limits(entry)
         self._dispatch()
         try:
             return await entry.granted
@@ -113,6 +114,13 @@
             self._withdraw(entry)
             raise
 
+    def _refuse_beyond_limits(self, entry: Entry) -> None:
+        if not self._can_end_in_time(entry):
+            self._queue.remove(entry)
+            raise self._refuse(entry, "too_late")
+        if len(self._queue) > self._env.settings.admission.queue_requests:
+            self._drop(self._queue.pop_worst(), "queue_full")
+
     def _make_entry(self, request: AdmissionRequest) -> Entry:
         return Entry(
             request,
@@ -175,7 +183,7 @@
         free = self.concurrency.free() if len(self._queue) else 0
         while free > 0 and (entry := self._queue.pop(full)) is not None:
             is_late = now_s + entry.cost_s > entry.deadline_at_s
-            if is_late and not self._may_probe():
+            if is_late and not self._first_come and not self._may_probe():
                 self._drop(entry, "deadline_in_queue")
             elif not entry.granted.done():
                 self._grant(entry, now_s)
