Add a soak test with seeded failures of every part

Cause: nothing exercised whole nodes under several failures at once. Change: bench/soak.py runs seven nodes and stand-ins under load with the disturbances of bench/disturbances.py, and checks the records, the nodes' logs, lost connections and versions at the end. A stand-in's fault is kept when only cold, leaving or out is set.

--- a/bench/check.py
+++ b/bench/check.py
@@ -36,7 +36,8 @@
     `callers` are `RequestRecord.to_body` objects; `servers` those of `GET /record`;
     `metrics` are nodes' `/metrics` texts; `exits` the exit codes of planned stops.
     `process_deaths` is True if a node was killed, which may leave a caller without an
-    answer and takes the node's metrics with it.
+    answer and takes the node's metrics with it. `metrics_incomplete` is True if nodes
+    were replaced, which takes only their metrics.
     """
 
     callers: list[dict[str, Any]]
@@ -45,6 +46,7 @@
     exits: dict[str, int]
     non_repeatable_kinds: frozenset[str]
     process_deaths: bool = False
+    metrics_incomplete: bool = False
 
 
 def broken_promises(observed: Observed) -> list[Breach]:
@@ -180,7 +182,7 @@
 
 def _uncounted_answers(observed: Observed) -> Iterator[Breach]:
     """Nodes must have counted every complete answer that a caller has."""
-    if observed.process_deaths or not observed.metrics:
+    if observed.process_deaths or observed.metrics_incomplete or not observed.metrics:
         return
     answered = sum(c["outcome"] == "complete" for c in observed.callers)
     counted = sum(
--- /dev/null
+++ b/bench/disturbances.py
@@ -0,0 +1,287 @@
+"""What a soak test does to a running deployment, each undone by itself.
+
+A disturbance is a registered coroutine function. It draws all its choices from the
+soak's seeded source and claims what it disturbs, so that no node or server is disturbed
+twice at once.
+"""
+
+import asyncio
+import random
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterator,
+)
+from contextlib import contextmanager
+from typing import NamedTuple
+
+import msgspec
+
+from bench.cluster import EntryVm
+from bench.http_stream import ConnectionLost
+from bench.operator_tool import OperatorTool
+from bench.processes import NotStarted
+from bench.run import Run
+
+# A majority of the seven nodes stays undisturbed.
+NODES_AT_ONCE = 2
+SERVERS_AT_ONCE = 3
+READY_TRIES = 3
+PLATFORM = "platform"
+DOMAINS = "domains"
+
+
+class Disturbance(NamedTuple):
+    """When something was disturbed, on the monotonic clock; `end_s` once it is over."""
+
+    name: str
+    target: str
+    start_s: float
+    end_s: float = float("inf")
+
+
+class Soak:
+    """One soak test's state: what is disturbed now and what was."""
+
+    def __init__(self, run: Run, operators: list[OperatorTool], source: random.Random):
+        self.run = run
+        self.operators = operators
+        self.random = source
+        self.claimed: set[str] = set()
+        self.history: list[Disturbance] = []
+        self.exits: dict[str, int] = {}
+        self.breaches: list[str] = []
+
+    @contextmanager
+    def disturbing(self, name: str, target: str) -> Iterator[None]:
+        """Claim `target` and note the time that it is disturbed."""
+        index = len(self.history)
+        self.claimed.add(target)
+        self.history.append(Disturbance(name, target, self._now_s()))
+        self.run.say(f"{name} {target}")
+        try:
+            yield
+        finally:
+            self.claimed.discard(target)
+            self.history[index] = self.history[index]._replace(end_s=self._now_s())
+            self.run.say(f"{name} {target} is over")
+
+    async def pause_s(self, shortest_s: float, longest_s: float) -> None:
+        await self.run.cluster.clock.sleep(self.random.uniform(shortest_s, longest_s))
+
+    def free_node(self) -> EntryVm | None:
+        return self._draw(self.run.cluster.vms, lambda vm: vm.node_id, NODES_AT_ONCE)
+
+    def free_server(self) -> str | None:
+        servers = list(self.run.cluster.replica_urls)
+        return self._draw(servers, lambda server: server, SERVERS_AT_ONCE)
+
+    def _draw(self, items: list, name: Callable, at_once: int):
+        free = [item for item in items if name(item) not in self.claimed]
+        if len(items) - len(free) >= at_once:
+            return None
+        return self.random.choice(free)
+
+    def _now_s(self) -> float:
+        return self.run.cluster.clock.monotonic_s()
+
+
+Act = Callable[[Soak], Awaitable[None]]
+ACTS: dict[str, tuple[Act, float]] = {}
+
+
+def disturbance(weight: float) -> Callable[[Act], Act]:
+    """Register a disturbance; it is drawn in proportion to `weight`."""
+
+    def register(act: Act) -> Act:
+        ACTS[act.__name__] = (act, weight)
+        return act
+
+    return register
+
+
+@disturbance(weight=2.0)
+async def kill_node(soak: Soak) -> None:
+    vm = soak.free_node()
+    if vm is None:
+        return
+    with soak.disturbing("kill", vm.node_id):
+        soak.run.deaths.add(vm.node_id)
+        await soak.run.cluster.kill_node(vm)
+        await soak.pause_s(0.2, 8.0)
+        await _start(soak, vm)
+
+
+@disturbance(weight=2.0)
+async def pause_node(soak: Soak) -> None:
+    vm = soak.free_node()
+    if vm is None:
+        return
+    with soak.disturbing("pause", vm.node_id):
+        soak.run.cluster.pause_node(vm)
+        await soak.pause_s(0.5, 10.0)
+        soak.run.cluster.resume_node(vm)
+
+
+@disturbance(weight=2.0)
+async def restart_node(soak: Soak) -> None:
+    vm = soak.free_node()
+    if vm is None:
+        return
+    with soak.disturbing("restart", vm.node_id):
+        soak.run.replaced.add(vm.node_id)
+        status = await soak.run.cluster.stop_node(vm)
+        soak.exits[f"{vm.node_id} stop {len(soak.exits) + 1}"] = status
+        await _start(soak, vm)
+
+
+async def _start(soak: Soak, vm: EntryVm) -> None:
+    """Start a node; a platform that is down may keep it from getting ready."""
+    cluster = soak.run.cluster
+    cluster.start_node(vm)
+    for _ in range(READY_TRIES):
+        try:
+            await cluster.until_ready(vm)
+            return
+        except NotStarted as late:
+            if cluster.processes[vm.node_id].process.poll() is not None:
+                soak.breaches.append(f"node {vm.node_id} ended by itself: {late}")
+                cluster.start_node(vm)
+    soak.breaches.append(f"node {vm.node_id} does not get ready")
+
+
+@disturbance(weight=2.0)
+async def disturb_platform(soak: Soak) -> None:
+    if PLATFORM in soak.claimed:
+        return
+    name, faults = soak.random.choice(
+        [
+            ("platform down", {"all": {"down": True}}),
+            ("platform silent", {"all": {"silent": True}}),
+            ("platform slow", {"all": {"slow_s": soak.random.uniform(0.1, 1.5)}}),
+            ("platform loses replies", {"transact": {"drop_share": 0.5}}),
+            ("VM list down", {"vms": {"down": True}}),
+        ]
+    )
+    with soak.disturbing(name, PLATFORM):
+        await soak.run.cluster.control_platform({"faults": faults})
+        await soak.pause_s(1.0, 12.0)
+        ended = {operation: {} for operation in faults}
+        await soak.run.cluster.control_platform({"faults": ended})
+
+
+@disturbance(weight=4.0)
+async def disturb_server(soak: Soak) -> None:
+    server = soak.free_server()
+    if server is None:
+        return
+    name, fault = soak.random.choice(
+        [
+            ("cold", {"cold": True}),
+            ("silent", {"silent": True}),
+            ("slow", {"slow_factor": soak.random.uniform(2.0, 20.0)}),
+            ("down", {"down": True}),
+            ("failing", {"fail_share": soak.random.uniform(0.1, 1.0)}),
+        ]
+    )
+    with soak.disturbing(name, server):
+        await soak.run.cluster.fault(server, fault)
+        await soak.pause_s(0.5, 8.0)
+        await soak.run.cluster.fault(server, {})
+
+
+@disturbance(weight=1.5)
+async def change_domain(soak: Soak) -> None:
+    """Take a domain out and back; an outage of the platform delays both."""
+    if DOMAINS in soak.claimed:
+        return
+    name = soak.random.choice(soak.run.cluster.domains)
+    with soak.disturbing(f"domain {name} out", DOMAINS):
+        plan = await _confirmed(soak, "domain", "out", name)
+        if plan and await _seen(soak, name, out=True):
+            await soak.run.cluster.mark_domain(name, True)
+            soak.run.say(f"domain {name} is out")
+            await soak.pause_s(3.0, 8.0)
+    await _return_domain(soak, name)
+
+
+async def _return_domain(soak: Soak, name: str) -> None:
+    with soak.disturbing(f"domain {name} in", DOMAINS):
+        while name in _domains_out(soak):
+            await soak.run.cluster.mark_domain(name, False)
+            plan = await _confirmed(soak, "domain", "in", name)
+            if plan and await _seen(soak, name, out=False):
+                return
+            if name in _domains_out(soak):
+                await soak.run.cluster.mark_domain(name, True)
+            await soak.pause_s(1.0, 2.0)
+
+
+async def _confirmed(soak: Soak, *intent: str) -> str:
+    """Return the id of the plan, or nothing if it was refused or is unknown."""
+    operator = soak.random.choice(soak.operators)
+    proposed = await operator.run(*intent)
+    if proposed.status != 0:
+        soak.run.say(f"{' '.join(intent)}: {proposed.body}"[:160])
+        return ""
+    plan = proposed.body
+    confirm = ("plan", "confirm", plan["plan_id"], plan["digest"])
+    confirmed = await operator.run(*confirm, "--accept-low-capacity")
+    if confirmed.status != 0:
+        soak.run.say(f"confirm {' '.join(intent)}: {confirmed.body}"[:160])
+        return ""
+    return plan["plan_id"]
+
+
+async def _seen(soak: Soak, name: str, out: bool) -> bool:
+    """Wait until a node has the order in force; return whether one has."""
+    try:
+        await soak.run.watcher.until_domain(name, out, 20.0)
+    except TimeoutError:
+        return False
+    return True
+
+
+def _domains_out(soak: Soak) -> set[str]:
+    newest = max(soak.run.watcher.latest.values(), key=lambda sight: sight.version)
+    return set(newest.domains_out)
+
+
+@disturbance(weight=1.5)
+async def race_operators(soak: Soak) -> None:
+    """Two operators change the share of the same customer at the same time."""
+
+    if "operators" in soak.claimed:
+        return
+    customers = [
+        id_ for id_ in soak.run.cluster.objects if id_.startswith("customers/")
+    ]
+    object_id = soak.random.choice(customers)
+    with soak.disturbing(f"race for {object_id}", "operators"):
+        results = await asyncio.gather(
+            *(_change_share(soak, operator, object_id) for operator in soak.operators)
+        )
+        soak.run.say(f"race for {object_id}: exit statuses {results}")
+
+
+async def _change_share(soak: Soak, operator: OperatorTool, object_id: str) -> int:
+
+    body = soak.run.cluster.objects[object_id]
+    share = round(soak.random.uniform(0.5, 5.0), 2)
+    arguments = {"changes": {object_id: {**body, "share": share}}}
+    text = msgspec.json.encode(arguments).decode()
+    result = await operator.run("plan", "propose", "configuration", text, "--confirm")
+    return result.status
+
+
+async def attempt(soak: Soak, name: str) -> None:
+    """Run one disturbance; a control connection that fails is printed."""
+    try:
+        await ACTS[name][0](soak)
+    except (ConnectionLost, TimeoutError) as error:
+        soak.run.say(f"{name}: {error!r}")
+
+
+def draw(source: random.Random) -> str:
+    weights = [weight for _, weight in ACTS.values()]
+    return source.choices(list(ACTS), weights)[0]
--- a/bench/run.py
+++ b/bench/run.py
@@ -50,7 +50,10 @@
 
 
 class Run(NamedTuple):
-    """What the parts of one run share; `started_s` is monotonic."""
+    """What the parts of one run share; `started_s` is monotonic.
+
+    `deaths` are nodes that were killed, `replaced` those that a planned stop ended.
+    """
 
     cluster: Cluster
     driver: LoadDriver
@@ -58,6 +61,7 @@
     tool: OperatorTool
     started_s: float
     deaths: set[str]
+    replaced: set[str]
 
     def say(self, text: str) -> None:
         """Print a line with the time since the start."""
@@ -86,6 +90,7 @@
         OperatorTool(cluster.entries(), key),
         cluster.clock.monotonic_s(),
         set(),
+        set(),
     )
     run.say(f"starting stand-ins and {nodes} nodes, logs in {folder}")
     await cluster.start()
@@ -120,6 +125,7 @@
         exits=exits,
         non_repeatable_kinds=non_repeatable_kinds(cluster.objects),
         process_deaths=bool(run.deaths),
+        metrics_incomplete=bool(run.replaced),
     )
     keep(cluster.folder / "observed.json", observed)
     return broken_promises(observed) + lower_versions(run.watcher.sights)
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,129 @@
+"""Whole nodes and stand-ins under load and random failures, checked at the end.
+
+`python -m bench.soak --seconds 120 --seed 1` prints each disturbance, the outcomes and
+each broken promise with its ids. The exit status is 0 only if no promise was broken.
+The seed fixes load and disturbances, but not how processes are scheduled.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+from pathlib import Path
+
+import msgspec
+
+from bench.check import Breach
+from bench.disturbances import (
+    Soak,
+    attempt,
+    draw,
+)
+from bench.operator_tool import OperatorTool
+from bench.records import RequestRecord
+from bench.run import (
+    Run,
+    check,
+    print_breaches,
+    print_outcomes,
+    running,
+)
+from bench.schedule import (
+    Burst,
+    Load,
+    plan_requests,
+    read_deployment,
+)
+from bench.traces import (
+    logged_faults,
+    unexplained_losses,
+)
+
+NODES = 7
+RATE = 8.0
+BURST_PERIOD_S = 20.0
+BURST_REQUESTS = 20
+SHORTEST_GAP_S = 0.5
+LONGEST_GAP_S = 3.0
+AT_ONCE = 5
+# Every disturbance is undone and every node has joined again before the end.
+QUIET_S = 10.0
+OPERATORS = ("chief-dispatcher", "night-dispatcher")
+
+
+def plan_load(deployment: Path, seconds: float, seed: int):
+    bursts = []
+    at_s = BURST_PERIOD_S / 2
+    while at_s < seconds:
+        bursts.append(Burst(at_s, BURST_REQUESTS))
+        at_s += BURST_PERIOD_S
+    load = Load(RATE, seconds, tuple(bursts), seed, "soak")
+    return plan_requests(read_deployment(deployment), load)
+
+
+def operators(run: Run, deployment: Path) -> list[OperatorTool]:
+    keys = msgspec.json.decode((deployment / "sample_keys.json").read_bytes())
+    entries = run.cluster.entries()
+    return [OperatorTool(entries, keys["operators"][name]) for name in OPERATORS]
+
+
+async def disturb(soak: Soak, seconds: float) -> None:
+    """Begin disturbances at random times; return once all are undone."""
+    clock = soak.run.cluster.clock
+    end_s = clock.monotonic_s() + seconds
+    tasks: set[asyncio.Task] = set()
+    while clock.monotonic_s() < end_s:
+        name = draw(soak.random)
+        if len(tasks) < AT_ONCE:
+            task = asyncio.create_task(attempt(soak, name))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await soak.pause_s(SHORTEST_GAP_S, LONGEST_GAP_S)
+    await asyncio.gather(*tasks)
+
+
+async def soak_test(deployment: Path, seconds: float, seed: int) -> int:
+    print(f"seed {seed}")
+    async with running(deployment, NODES, seed) as run:
+        soak = Soak(run, operators(run, deployment), random.Random(seed))
+        load = run.load(plan_load(deployment, seconds, seed))
+        await disturb(soak, seconds - QUIET_S)
+        run.say("all disturbances are over")
+        records = await load
+        await run.cluster.clock.sleep(QUIET_S / 2)
+        breaches = differing_versions(run)
+        breaches += await check(run, records, soak.exits)
+        breaches += traced(soak, records)
+        print_outcomes(records)
+        print_breaches(breaches)
+        print(f"seed {seed}: {len(breaches)} breaches")
+        return 1 if breaches else 0
+
+
+def differing_versions(run: Run) -> list[Breach]:
+    versions = {node: sight.version for node, sight in run.watcher.latest.items()}
+    if len(set(versions.values())) == 1:
+        return []
+    return [Breach("P9", f"versions differ at the end: {versions}")]
+
+
+def traced(soak: Soak, records: list[RequestRecord]) -> list[Breach]:
+    callers = [record.to_body() for record in records]
+    return [
+        *logged_faults(soak.run.cluster.folder),
+        *unexplained_losses(callers, soak.history),
+        *(Breach("run", text) for text in soak.breaches),
+    ]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--deployment", type=Path, default=Path("examples/laurentien"))
+    parser.add_argument("--seconds", type=float, default=300.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    sys.exit(asyncio.run(soak_test(options.deployment, options.seconds, options.seed)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/traces.py
@@ -0,0 +1,60 @@
+"""Faults that nodes logged, and answers lost without a disturbance that explains it."""
+
+from collections.abc import (
+    Iterable,
+    Iterator,
+)
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from bench.check import Breach
+from bench.disturbances import Disturbance
+
+# The caller notices a silent connection after this time at the latest.
+NOTICE_S = 6.0
+NODE_DISTURBANCES = ("kill", "pause")
+
+
+def logged_faults(folder: Path) -> Iterator[Breach]:
+    """Return violated invariants, failed tasks and uncaught exceptions of the nodes."""
+    for file in sorted(folder.glob("entry-*.log")):
+        for line in file.read_text(errors="replace").splitlines():
+            yield from _fault_in(file.stem, line)
+
+
+def _fault_in(node_id: str, line: str) -> Iterator[Breach]:
+    if not line.startswith("{"):
+        if line.startswith("Traceback"):
+            yield Breach("log", f"{node_id} printed a traceback")
+        return
+    event = msgspec.json.decode(line)
+    if event["message"] == "invariant_violated":
+        yield Breach(event["invariant"].split("_")[0], f"{node_id}: {line}")
+    elif event["message"] == "task_failed":
+        yield Breach("log", f"{node_id}: {line}")
+
+
+def unexplained_losses(
+    callers: Iterable[dict[str, Any]], history: list[Disturbance]
+) -> Iterator[Breach]:
+    """Return connections lost to nodes that were neither killed nor paused then."""
+    for caller in callers:
+        for answer in caller["answers"]:
+            if answer["outcome"] == "lost" and not _is_explained(answer, history):
+                yield Breach(
+                    "P8",
+                    f"{answer['request_id']} lost its connection to "
+                    f"{answer['node_id'] or 'all nodes'}: {answer['reason']}",
+                )
+
+
+def _is_explained(answer: dict[str, Any], history: list[Disturbance]) -> bool:
+    return any(
+        item.name in NODE_DISTURBANCES
+        and answer["node_id"] in (item.target, "")
+        and item.start_s < answer["received_s"]
+        and answer["sent_s"] < item.end_s + NOTICE_S
+        for item in history
+    )
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -147,7 +147,11 @@
         self.out_since_s = self.clock.monotonic_s() if out else None
 
     def set_fault(self, fields: dict[str, Any]) -> None:
-        """Replace the fault; `cold`, `leaving` and `out` act beside it."""
+        """Replace the fault; `cold`, `leaving` and `out` act beside it.
+
+        A body with nothing but these leaves the fault as it is.
+        """
+        beside = fields.keys() & {"cold", "leaving", "out"}
         fields = dict(fields)
         if fields.pop("cold", False):
             self.go_cold(unwarned=True)
@@ -155,7 +159,8 @@
             self.set_leaving(fields.pop("leaving"))
         if "out" in fields:
             self.set_out(fields.pop("out"))
-        self.fault = BackendFault(**fields)
+        if fields or not beside:
+            self.fault = BackendFault(**fields)
         if self.fault.silent:
             for call in self.running:
                 call.silenced = True
