Test 100 racing configuration changes under outages, restarts and partitions

Cause: The bound of 2 s after the links are healthy was checked for single changes only. Change: Two operators race through 100 changes while faults come and go; a node's versions, the bound, and accepted and refused values are checked. Four faulty services show that each check can fail.

--- a/egretshed/configuration/tests/fleet.py
+++ b/egretshed/configuration/tests/fleet.py
@@ -20,6 +20,8 @@
 class ConfigurationFleet(Fleet):
     """`versions_seen` has each version that a process had in force, in order."""
 
+    service_class = ConfigurationService
+
     def __init__(self, domains: list[str], seed: int = 1):
         super().__init__(domains, seed)
         self.services: dict[str, ConfigurationService] = {}
@@ -28,7 +30,7 @@
 
     async def start_node(self, node_id: str) -> Node:
         node = await super().start_node(node_id)
-        service = ConfigurationService(
+        service = self.service_class(
             node.env, self.memory.platform, node.peer, node.membership
         )
         seen = self.versions_seen[(node_id, node.env.identity.incarnation)] = []
--- /dev/null
+++ b/egretshed/configuration/tests/steps/race_steps.py
@@ -0,0 +1,46 @@
+import asyncio
+import re
+
+from behave import (
+    then,
+    when,
+)
+
+from egretshed.configuration.tests.faulty_services import FAULTS
+from egretshed.configuration.tests.race import Race
+
+
+def run_race(context, count, race):
+    asyncio.run(race.run(count))
+    context.race = race
+
+
+@when(
+    'two operators make {count:d} changes with the faults "{faults}" and seed {seed:d}'
+)
+def race_with_faults(context, count, faults, seed):
+    names = () if faults == "none" else tuple(faults.split())
+    run_race(context, count, Race(seed, names))
+    accepted, refused = context.race.count(True), context.race.count(False)
+    print(f"{faults}, seed {seed}: {accepted} accepted, {refused} refused")
+
+
+@when('two operators make {count:d} changes with a service that "{fault}"')
+def race_with_faulty_service(context, count, fault):
+    run_race(context, count, Race(1, (), FAULTS[fault]))
+
+
+@then("no breach was seen")
+def no_breach(context):
+    assert not context.race.breaches, "\n".join(context.race.breaches[:20])
+
+
+@then('a breach "{check}" was seen')
+def breach(context, check):
+    breaches = context.race.breaches
+    assert any(re.search(check, text) for text in breaches), breaches[:20]
+
+
+@then("changes were accepted and refused")
+def both(context):
+    assert context.race.count(True) and context.race.count(False)
