Show for P1 to P8 that a deliberate fault turns its check red

Cause: The check of records was tested on made-up records only. Change: Ten faults replace one method or condition of a running system of two nodes; the same events without the fault break no promise. Conclusion: Each check fails for its fault and for no event alone.

--- /dev/null
+++ b/bench/tests/faults.py
@@ -0,0 +1,96 @@
+"""Deliberate faults: each replaces one method or condition while a test runs."""
+
+import asyncio
+from contextlib import ExitStack
+from typing import Any
+from unittest import mock
+
+from egretshed.backends.interface import TokenEvent
+from egretshed.backends.openai_completions import OpenAiCompletionsBackend
+from egretshed.callers.events import StreamPeers
+from egretshed.claims.held import (
+    Held,
+    HeldState,
+)
+from egretshed.claims.service import ClaimService
+from egretshed.configuration.schema import Configuration
+from egretshed.errors import BackendError
+from egretshed.platform.interface import ABSENT_VERSION
+from egretshed.requests.runner import RequestRunner
+from egretshed.requests.stream import RequestStream
+from egretshed.retries import decision
+from egretshed.routing.router import Router
+from egretshed.slots.owned import OwnedState
+from egretshed.slots.warmth import Warmth
+
+LATE_S = 0.02
+real_call = OpenAiCompletionsBackend.call
+real_batches = StreamPeers.batches
+real_drain = RequestRunner.drain
+real_note_report = OwnedState.note_report
+
+
+async def call_with_late_tokens(self, call, on_tokens):
+    """Hand on one more token after the attempt has failed, as a slow network may."""
+    try:
+        return await real_call(self, call, on_tokens)
+    except BackendError:
+        event = TokenEvent(0, ("late ",))
+        asyncio.get_running_loop().call_later(LATE_S, on_tokens, event)
+        raise
+
+
+def accept_tokens(self, run, attempt_id, event) -> None:
+    if not run.stream.finished:
+        run.stream.append_tokens(event.tokens)
+
+
+async def claim_unchecked(self, customer_id, request_id):
+    claim = self._new_claim(customer_id, request_id)
+    self._held[claim.key] = Held(claim, HeldState.RUNNING, ABSENT_VERSION)
+    return claim
+
+
+def batches_from_one_before(self, customer_id, stream_id, after):
+    return real_batches(self, customer_id, stream_id, max(0, after - 1))
+
+
+async def drain_without_waiting(self, limit_s) -> int:
+    return await real_drain(self, 0.0)
+
+
+def note_report_without_leaving(self, report, now_s) -> None:
+    real_note_report(self, report._replace(leaving=False), now_s)
+
+
+LATE_TOKENS = ((OpenAiCompletionsBackend, "call", call_with_late_tokens),)
+FAULTS: dict[str, tuple[tuple[Any, str, Any], ...]] = {
+    "none": (),
+    "late tokens": LATE_TOKENS,
+    "late tokens accepted": (
+        *LATE_TOKENS,
+        (RequestRunner, "_on_tokens", accept_tokens),
+    ),
+    "attempt ids repeat": (
+        (RequestRunner, "_next_attempt_id", lambda self: "attempt"),
+    ),
+    "cold limit ignored": ((Warmth, "limit", lambda self, pool: pool.warm_slots),),
+    "domain state ignored": (
+        (Configuration, "is_in_service", lambda self, replica: True),
+        (Router, "_why_not", lambda self, call, replica: ""),
+    ),
+    "resume off by one": ((StreamPeers, "batches", batches_from_one_before),),
+    "sent calls not noted": ((RequestStream, "may_have_run", False),),
+    "claims not checked": ((ClaimService, "claim", claim_unchecked),),
+    "effects not considered": ((decision, "may_have_run", lambda error: False),),
+    "leaving ignored": ((OwnedState, "note_report", note_report_without_leaving),),
+    "stop without waiting": ((RequestRunner, "drain", drain_without_waiting),),
+}
+
+
+def with_fault(name: str) -> ExitStack:
+    """Return a context in which the named fault is in force."""
+    stack = ExitStack()
+    for owner, method, by in FAULTS[name]:
+        stack.enter_context(mock.patch.object(owner, method, by))
+    return stack
--- /dev/null
+++ b/bench/tests/mutations.feature
@@ -0,0 +1,38 @@
+Feature: A deliberate fault breaks its promise, and the check says so
+
+  Scenario Outline: With the fault <fault>, when <event>, the check of <promise> fails
+    # Guards against a check that stays green whatever the system does.
+    Given the fault "<fault>"
+    When a system under load is run while "<event>"
+    Then the promise "<promise>" is reported broken
+
+    Examples:
+      | promise | fault                  | event                         |
+      | P1      | attempt ids repeat     | half of the engine calls fail |
+      | P4      | late tokens accepted   | half of the engine calls fail |
+      | P2      | cold limit ignored     | engines turn cold             |
+      | P3      | domain state ignored   | a domain goes out             |
+      | P4      | resume off by one      | connections break             |
+      | P5      | sent calls not noted   | all engine calls fail         |
+      | P6      | claims not checked     | a booking comes twice         |
+      | P6      | effects not considered | bookings fail midway          |
+      | P7      | leaving ignored        | servers leave                 |
+      | P8      | stop without waiting   | a node stops                  |
+
+  Scenario Outline: With the fault <fault>, when <event>, no promise is broken
+    # Guards against a check that is red for the event instead of the fault above.
+    Given the fault "<fault>"
+    When a system under load is run while "<event>"
+    Then no promise is reported broken
+
+    Examples:
+      | fault       | event                         |
+      | none        | a domain goes out             |
+      | none        | servers leave                 |
+      | none        | engines turn cold             |
+      | none        | all engine calls fail         |
+      | late tokens | half of the engine calls fail |
+      | none        | bookings fail midway          |
+      | none        | a booking comes twice         |
+      | none        | connections break             |
+      | none        | a node stops                  |
