--- /dev/null
+++ b/bench/domain_change.py
@@ -0,0 +1,175 @@
+"""Takes a failure domain out and back under load and measures the change.
+
+`python -m bench.domain_change` prints when the last call began in the domain after the
+order was in force on the first node, how the calls that ran there ended, and the
+attainment before, during and after. The exit status is 0 only if the last call began
+within 2 s, none was cut off, attainment while the domain was out was at most one
+percentage point lower than before, and no promise was broken.
+"""
+
+import argparse
+import asyncio
+import sys
+from pathlib import Path
+from typing import (
+    Any,
+    NamedTuple,
+)
+
+from bench.check import (
+    LEAVING_LIMIT_S,
+    Breach,
+)
+from bench.records import RequestRecord
+from bench.run import (
+    Run,
+    change_domain,
+    check,
+    print_breaches,
+    print_outcomes,
+    running,
+)
+from bench.schedule import (
+    Load,
+    plan_requests,
+    read_deployment,
+)
+from bench.traces import (
+    in_force_times_s,
+    logged_faults,
+    unexplained_losses,
+)
+from bench.windows import (
+    Window,
+    print_windows,
+)
+
+NODES = 7
+RATE = 8.0
+LONGEST_S = 300.0
+BEFORE_S = 30.0
+OUT_S = 30.0
+BACK_S = 20.0
+ATTAINMENT_DROP = 0.01
+
+
+class Change(NamedTuple):
+    """Monotonic times of the change; `version` is the one with the domain out."""
+
+    domain: str
+    version: int
+    start_s: float
+    ordered_s: float
+    returned_s: float
+    end_s: float
+
+
+class DomainCalls(NamedTuple):
+    """Calls in the domain: those running at the order, and starts after it."""
+
+    running: int
+    cut_off: int
+    started_later: int
+    last_start_s: float
+
+
+async def change(run: Run) -> Change:
+    clock = run.cluster.clock
+    domain = run.cluster.domains[0]
+    start_s = clock.monotonic_s()
+    await clock.sleep(BEFORE_S)
+    ordered_s = clock.monotonic_s()
+    await change_domain(run, domain, out=True)
+    version = max(sight.version for sight in run.watcher.latest.values())
+    await clock.sleep(OUT_S)
+    returned_s = clock.monotonic_s()
+    await change_domain(run, domain, out=False)
+    await clock.sleep(BACK_S)
+    return Change(domain, version, start_s, ordered_s, returned_s, clock.monotonic_s())
+
+
+def calls_in_domain(
+    servers: list[dict[str, Any]], change: Change, in_force_s: float
+) -> DomainCalls:
+    calls = [
+        call
+        for server in servers
+        if server["failure_domain"] == change.domain
+        for call in server["calls"]
+    ]
+    running = [
+        call
+        for call in calls
+        if call["start_s"] < in_force_s
+        and (call["end_s"] is None or call["end_s"] > in_force_s)
+    ]
+    later = [
+        call["start_s"] - in_force_s
+        for call in calls
+        if in_force_s <= call["start_s"] < change.returned_s
+    ]
+    return DomainCalls(
+        running=len(running),
+        cut_off=sum(call["outcome"] != "completed" for call in running),
+        started_later=len(later),
+        last_start_s=max(later, default=0.0),
+    )
+
+
+async def measure(deployment: Path, seed: int, rate: float) -> int:
+    async with running(deployment, NODES, seed) as run:
+        load = Load(rate, LONGEST_S, seed=seed, run="domain")
+        sending = run.load(plan_requests(read_deployment(deployment), load))
+        made = await change(run)
+        run.driver.stop()
+        records = await sending
+        servers = await run.cluster.records()
+        times_s = in_force_times_s(run.cluster, made.version)
+        calls = calls_in_domain(servers, made, min(times_s.values()))
+        breaches = await check(run, records, {})
+        breaches += logged_faults(run.cluster.folder)
+        breaches += unexplained_losses([r.to_body() for r in records], [])
+        windows = windows_of(made)
+        breaches += limits(windows, records, calls)
+        print_outcomes(records)
+        print_windows(windows, records)
+        spread_s = max(times_s.values()) - min(times_s.values())
+        print(f"order in force on {len(times_s)} nodes within {spread_s:.2f} s")
+        print(f"calls in {made.domain}: {calls}")
+        print_breaches(breaches)
+        return 1 if breaches else 0
+
+
+def windows_of(change: Change) -> list[Window]:
+    return [
+        Window("before", change.start_s, change.ordered_s),
+        Window("domain out", change.ordered_s, change.returned_s),
+        Window("domain back", change.returned_s, change.end_s),
+    ]
+
+
+def limits(
+    windows: list[Window], records: list[RequestRecord], calls: DomainCalls
+) -> list[Breach]:
+    before, out, _ = (window.attainment(records) for window in windows)
+    breaches = []
+    if calls.last_start_s > LEAVING_LIMIT_S:
+        breaches.append(Breach("P3", f"last start {calls.last_start_s:.2f} s after"))
+    if calls.cut_off:
+        breaches.append(Breach("P8", f"{calls.cut_off} calls in the domain cut off"))
+    if before - out > ATTAINMENT_DROP:
+        breaches.append(Breach("attainment", f"{out:.2%} instead of {before:.2%}"))
+    return breaches
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--deployment", type=Path, default=Path("examples/laurentien"))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rate", type=float, default=RATE, help="requests per second")
+    options = parser.parse_args()
+    sys.exit(asyncio.run(measure(options.deployment, options.seed, options.rate)))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/driver.py
+++ b/bench/driver.py
@@ -45,15 +45,25 @@
             name: Caller(clock, AddressBook(clock, known, name), key)
             for name, key in deployment.customer_keys.items()
         }
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Send no further request; those that were sent go on to their answers."""
+        self._stopped = True
 
     async def run(self, plan: list[PlannedRequest]) -> list[RequestRecord]:
-        """Return the records in the order of the plan, once all have ended."""
+        """Return the records in the order of the plan, once all have ended.
+
+        Requests that are due after `stop` have none.
+        """
         start_s = self.clock.monotonic_s()
         tasks = []
         for planned in plan:
             wait_s = start_s + planned.at_s - self.clock.monotonic_s()
             if wait_s > 0:
                 await self.clock.sleep(wait_s)
+            if self._stopped:
+                break
             tasks.append(asyncio.create_task(self._run_one(planned, start_s)))
         return list(await asyncio.gather(*tasks))
 
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -10,10 +10,12 @@
 import msgspec
 
 from bench.check import Breach
+from bench.cluster import Cluster
 from bench.disturbances import Disturbance
 
 # The caller notices a silent connection after this time at the latest.
 NOTICE_S = 6.0
+IN_FORCE = "configuration_in_force"
 NODE_DISTURBANCES = ("kill", "pause")
 
 
@@ -36,6 +38,22 @@
         yield Breach("log", f"{node_id}: {line}")
 
 
+def in_force_times_s(cluster: Cluster, version: int) -> dict[str, float]:
+    """Return by node when a configuration version was in force, monotonic.
+
+    The logs have wall time; both clocks are those of this machine.
+    """
+    offset_s = cluster.clock.wall_s() - cluster.clock.monotonic_s()
+    times = {}
+    for vm in cluster.vms:
+        file = cluster.folder / f"{vm.node_id}.log"
+        for line in file.read_text(errors="replace").splitlines():
+            event = msgspec.json.decode(line) if line.startswith("{") else {}
+            if (event.get("message"), event.get("version")) == (IN_FORCE, version):
+                times.setdefault(vm.node_id, event["time_s"] - offset_s)
+    return times
+
+
 def unexplained_losses(
     callers: Iterable[dict[str, Any]], history: list[Disturbance]
 ) -> Iterator[Breach]:
--- a/egretshed/backends/openai_completions.py
+++ b/egretshed/backends/openai_completions.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import msgspec
+from tornado.httputil import HTTPInputError
 
 from egretshed.backends.adapters import BACKEND_ADAPTERS
 from egretshed.backends.http import (
@@ -17,20 +18,18 @@
     OnTokens,
     TokenEvent,
 )
-from egretshed.errors import (
-    BackendError,
-    EgretshedError,
-)
+from egretshed.errors import BackendError
 
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 EVENT_END = b"\n\n"
 
 
-class CallAbandoned(EgretshedError):
-    """Closes the connection of a call whose result nobody waits for."""
+class CallAbandoned(HTTPInputError):
+    """Closes the connection of a call whose result nobody waits for.
 
-    code = "call_abandoned"
+    tornado logs any other exception of a streaming callback with its traceback.
+    """
 
 
 class _CompletionStream:
--- /dev/null
+++ b/egretshed/backends/tests/steps/abandoned_steps.py
@@ -0,0 +1,81 @@
+import asyncio
+import logging
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.backends.adapters import connect_backend
+from egretshed.backends.interface import BackendCall
+from egretshed.clock import SystemClock
+from egretshed.configuration.schema import (
+    Pool,
+    Replica,
+)
+from egretshed.errors import BackendSilent
+from standins.backend_spec import (
+    BackendSpec,
+    Timing,
+)
+from standins.backends import BackendServer
+from standins.environments import make_environment
+
+
+class Kept(logging.Handler):
+    """Keeps the records that it is given."""
+
+    def __init__(self):
+        super().__init__(logging.WARNING)
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@given("an engine that makes a token every {token_s:g} s")
+def engine(context, token_s):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    spec = BackendSpec("b-1", "engine", 1, 4, timing=Timing(token_s=token_s))
+    context.server = BackendServer(spec)
+    context.runner.run(context.server.start())
+    context.add_cleanup(lambda: context.runner.run(context.server.stop()))
+    context.kept = Kept()
+    logging.getLogger("tornado").addHandler(context.kept)
+    context.add_cleanup(
+        lambda: logging.getLogger("tornado").removeHandler(context.kept)
+    )
+
+
+@when("a call with a progress limit of {limit_s:g} s is given up")
+def give_up(context, limit_s):
+    async def call():
+        replica = Replica("b-1", context.server.url, "a")
+        pool = Pool("engine", (replica,), 1, 4, adapter="openai_completions")
+        backend = connect_backend(make_environment(SystemClock()), pool, replica)
+        payload = {"prompt": "p", "max_tokens": 4}
+        given_up = BackendCall("a-1", "r-1", "c", "generate", payload, 1, 9.0, limit_s)
+        try:
+            await backend.call(given_up, lambda event: None)
+        except BackendSilent:
+            pass
+        else:
+            raise AssertionError("the call was not given up")
+        record = context.server.state.record.calls[0]
+        while record.outcome == "running":
+            await asyncio.sleep(0.01)
+
+    context.runner.run(call())
+
+
+@then("the engine's call ends as {outcome}")
+def ends(context, outcome):
+    record = context.server.state.record.calls[0]
+    assert record.outcome == outcome, record.to_body()
+
+
+@then("no error was logged")
+def quiet(context):
+    assert not context.kept.records, [r.getMessage() for r in context.kept.records]
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -55,7 +55,10 @@
 from egretshed.retries.budgets import RetryBudgets
 from egretshed.retries.stage_times import StageTimes
 from egretshed.routing.router import Router
-from egretshed.settings.schema import Settings
+from egretshed.settings.schema import (
+    MembershipSettings,
+    Settings,
+)
 from egretshed.slots.service import SlotService
 
 INCARNATION_RANDOM_BITS = 10
@@ -248,7 +251,7 @@
         settings = self.env.settings
         log_event(self.env.logger, "node_leaving", running=self.runner.running_count())
         await self.membership.leave()
-        await asyncio.sleep(settings.membership.address_keep_s)
+        await asyncio.sleep(_leave_s(settings.membership))
         self.runner.refuse_new("node_stopping")
         self._server.stop()
         cut = await self.runner.drain(settings.shutdown.limit_s)
@@ -293,5 +296,17 @@
         )
 
 
+def _leave_s(membership: MembershipSettings) -> float:
+    """Return how long a leaving node is still connected to.
+
+    A peer may hand the address out until it hears of the leave, at the latest when it
+    would have detected a failure, and callers keep the answer for `address_keep_s`.
+    """
+    hears_s = (
+        membership.probe_period_s + membership.probe_timeout_s + membership.suspicion_s
+    )
+    return hears_s + membership.address_keep_s
+
+
 def _port(sockets: list[socket.socket]) -> int:
     return sockets[0].getsockname()[1]
