Test that a stopping node serves addresses handed out late

Cause: the wait of a leaving node had no test of its own. Change: a scenario in daemon/tests/shutdown.feature connects after the longest time that an address may be kept; it errors without the longer wait. Measured: behave egretshed/daemon/tests/shutdown.feature: 6 scenarios pass; with the wait cut to address_keep_s the new one fails with a refused connection.

--- a/egretshed/daemon/tests/shutdown.feature
+++ b/egretshed/daemon/tests/shutdown.feature
@@ -20,6 +20,13 @@
     Then neither node hands out the first node any more
     And the first node still serves a request
 
+  Scenario: A stopping node serves callers that were sent to it after it began to leave
+    # Guards against addresses that refuse connections while callers still keep them.
+    Given two running nodes that detect a failure after 3 s
+    When the first node begins to stop
+    And a caller keeps an address that it got 0.1 s later for as long as it may
+    Then the first node still accepts its connection
+
   Scenario: A stopping node refuses new requests truthfully
     Given two running nodes
     When the first node refuses new requests
--- a/egretshed/daemon/tests/steps/shutdown_steps.py
+++ b/egretshed/daemon/tests/steps/shutdown_steps.py
@@ -8,7 +8,10 @@
     when,
 )
 
-from standins.system import System
+from standins.system import (
+    FAST_MEMBERSHIP,
+    System,
+)
 
 ROOT = Path(__file__).resolve().parents[4]
 CUSTOMER = "val-david"
@@ -27,6 +30,41 @@
     context.add_cleanup(lambda: run(context, context.system.__aexit__()))
 
 
+@given("two running nodes that detect a failure after {suspicion_s:g} s")
+def two_patient_nodes(context, suspicion_s):
+    membership = {**FAST_MEMBERSHIP, "suspicion_s": suspicion_s}
+    example = ROOT / "examples" / "laurentien"
+    context.system = System(example, nodes=2, membership=membership)
+    run(context, context.system.__aenter__())
+    context.add_cleanup(lambda: run(context, context.system.__aexit__()))
+
+
+@when("the first node begins to stop")
+def begin_to_stop(context):
+    async def begin():
+        context.stopping = asyncio.create_task(context.system.nodes[0].stop())
+
+    run(context, begin())
+    context.add_cleanup(lambda: run(context, ended(context.stopping)))
+
+
+async def ended(task):
+    task.cancel()
+    await asyncio.wait({task})
+
+
+@when("a caller keeps an address that it got {later_s:g} s later for as long as it may")
+def keep_address(context, later_s):
+    keep_s = context.system.nodes[0].env.settings.membership.address_keep_s
+    run(context, asyncio.sleep(later_s + keep_s))
+
+
+@then("the first node still accepts its connection")
+def still_accepts(context):
+    response = run(context, context.system.fetch("GET", "/health/live"))
+    assert response.code == 200, response.error
+
+
 async def read_stream(system, request_id, pause_s):
     """Return everything that the node sends on one streamed request."""
     identity = system.nodes[0].env.identity
