Measure lending at chosen fleet sizes and call rates

Cause: the published figures were for one rate of calls and up to 112 nodes. Change: bench.slots_cost takes sizes, replicas used and calls per second.

--- a/bench/slots_cost.py
+++ b/bench/slots_cost.py
@@ -2,7 +2,13 @@
 
 All nodes run in one process on virtual time, so that a large fleet needs no real time.
 Every message is encoded as the frame that TCP would carry, with its MAC; the cost of
-sockets is not in the figures. Run it with ``python -m bench.slots_cost``.
+sockets is not in the figures. Loans follow the calls of a settled fleet, so they are
+measured after a warm-up of more than one take-over wait. With 0 calls/s only owners'
+refreshes and load polls remain.
+
+Example::
+
+    PYTHONPATH=. python -m bench.slots_cost --sizes 7 28 100 360 --used 8
 """
 
 import argparse
@@ -34,9 +40,8 @@
 )
 from standins.slot_nodes import SlotNode
 
-SIZES = (7, 14, 28, 56, 112)
+SIZES = [7, 14, 28, 56, 112]
 REPLICAS_PER_NODE = 2
-CALLS_PER_S = 20
 CALL_S = 0.1
 WARM_UP_S = 9.0
 
@@ -107,12 +112,12 @@
     calls: float
 
 
-def measure(nodes: int, used: int, seconds: float, seed: int) -> Cost:
+def measure(nodes: int, used: int, options: argparse.Namespace) -> Cost:
     selector = VirtualSelector()
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now_s
     try:
-        return loop.run_until_complete(_measure(loop, nodes, used, seconds, seed))
+        return loop.run_until_complete(_measure(loop, nodes, used, options))
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
@@ -120,7 +125,8 @@
         loop.close()
 
 
-async def _measure(loop, nodes, used, seconds, seed) -> Cost:
+async def _measure(loop, nodes, used, options) -> Cost:
+    seconds, seed, rate = options.seconds, options.seed, options.calls_per_s
     clock = VirtualClock(loop)
     network = CountingNetwork(clock)
     configuration = make_configuration(
@@ -140,7 +146,9 @@
             replica_ids, min(used or len(replica_ids), len(replica_ids))
         )
         seeded = random.Random(f"{seed}/{name}")
-        tasks.append(asyncio.ensure_future(_offer(node, mine, seeded, done)))
+        if rate:
+            work = _offer(node, mine, rate, seeded, done)
+            tasks.append(asyncio.ensure_future(work))
     await clock.sleep(WARM_UP_S)
     started = (time.process_time(), network.frame_bytes, network.frames, next(done))
     await clock.sleep(seconds)
@@ -150,9 +158,9 @@
     return Cost(nodes, 1e6 * cpu_s / per, sent / per, frames / per, calls / per)
 
 
-async def _offer(node, replica_ids, chosen, done) -> None:
+async def _offer(node, replica_ids, rate, chosen, done) -> None:
     for number in itertools.count():
-        await node.clock.sleep(chosen.expovariate(CALLS_PER_S))
+        await node.clock.sleep(chosen.expovariate(rate))
         attempt_id = f"{node.node_id}/{number}"
         replica_id = chosen.choice(replica_ids)
         asyncio.ensure_future(_call(node, replica_id, attempt_id, done))
@@ -185,17 +193,23 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=2.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
+    parser.add_argument("--calls-per-s", type=float, default=20.0, help="of each node")
+    parser.add_argument(
+        "--used", type=int, nargs="+", default=[8, 0], help="replicas of a node; 0: all"
+    )
     options = parser.parse_args()
     fields = Cost._fields[1:]
-    for used in (8, 0):
+    for used in options.used:
         print(f"\nreplicas used by a node: {used or 'all'}; per node and second")
         print("nodes" + "".join(f"{field:>14}" for field in fields))
         costs = []
-        for nodes in SIZES:
-            cost = measure(nodes, used, options.seconds, options.seed)
+        for nodes in options.sizes:
+            cost = measure(nodes, used, options)
             costs.append(cost)
             print(f"{nodes:5}" + "".join(f"{value:14.1f}" for value in cost[1:]))
-        print("slope" + "".join(f"{slope(costs, field):14.3f}" for field in fields))
+        if len(costs) > 1:
+            print("slope" + "".join(f"{slope(costs, field):14.3f}" for field in fields))
 
 
 if __name__ == "__main__":
