--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -71,6 +71,7 @@
         self.capacities = PoolCapacities(env, borrower, self._usable_ids)
         self._losses: dict[str, PrefixLosses] = {}
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
+        self._own_orders: dict[str, tuple[Pool, tuple[Replica, ...]]] = {}
 
     def choose(self, call: StageCall) -> RoutingDecision:
         """Return a decision that holds a slot; raise `NoReplicaAvailable` if none.
@@ -227,17 +228,15 @@
         if pool is None:
             raise NoReplicaAvailable(f"unknown pool {call.pool!r}", pool=call.pool)
         lost: dict[str, str] = {}
-        usable = [
-            self._candidate(call, pool, replica)
-            for replica in self._usable(call, pool, lost)
-        ]
+        replicas, rest = self._usable(call, pool, lost)
+        usable = [self._candidate(call, pool, replica) for replica in replicas]
         if not usable:
-            return Ranking([], lost)
+            return Ranking([], lost, rest)
         scored = self._policy.rank(call, usable, self.env.random)
         scored.sort(
             key=lambda item: item[1].replica.failure_domain in call.excluded_domains
         )
-        return Ranking(scored, lost)
+        return Ranking(scored, lost, rest)
 
     def _usable_ids(self, name: str) -> list[str]:
         """Return the replicas of a pool that this node may use now."""
@@ -245,35 +244,40 @@
         if pool is None:
             return []
         call = StageCall("", "", "", "", name, 0.0)
-        return [replica.replica_id for replica in self._usable(call, pool, {})]
+        return [replica.replica_id for replica in self._usable(call, pool, {})[0]]
 
     def _usable(
         self, call: StageCall, pool: Pool, lost: dict[str, str]
-    ) -> list[Replica]:
-        """Return the replicas that may get the call; add why others may not."""
-        usable = []
-        for replica in pool.replicas:
+    ) -> tuple[list[Replica], int]:
+        """Return the replicas that may get the call, and how many were not looked at.
+
+        Adds to `lost` why others may not. A node uses its own part of a large pool,
+        doubled by each call not placed. Looking at all of 144 replicas took 0.9 ms for
+        each decision.
+        """
+        size = PART_REPLICAS << min(self._short[call.pool], MAX_DOUBLINGS)
+        replicas = self._in_own_order(call.pool, pool)
+        usable: list[Replica] = []
+        for seen, replica in enumerate(replicas):
+            if len(usable) == size:
+                return usable, len(replicas) - seen
             reason = self._why_not(call, replica)
             if reason:
                 lost[replica.replica_id] = reason
             else:
                 usable.append(replica)
-        return self._own_part(call, usable, lost)
-
-    def _own_part(
-        self, call: StageCall, usable: list[Replica], lost: dict[str, str]
-    ) -> list[Replica]:
-        """Keep this node's part of a large pool, doubled by each call not placed."""
-        size = PART_REPLICAS << min(self._short[call.pool], MAX_DOUBLINGS)
-        if len(usable) <= size:
-            return usable
-        own = self.env.identity.node_id
-        ordered = sorted(
-            usable, key=lambda replica: _digest(f"{own}/{replica.replica_id}")
-        )
-        for replica in ordered[size:]:
-            lost[replica.replica_id] = "other_part"
-        return ordered[:size]
+        return usable, 0
+
+    def _in_own_order(self, name: str, pool: Pool) -> tuple[Replica, ...]:
+        """Return the replicas in this node's order, which differs between nodes."""
+        known = self._own_orders.get(name)
+        if known is None or known[0] is not pool:
+            own = self.env.identity.node_id
+            ordered = sorted(
+                pool.replicas, key=lambda item: _digest(f"{own}/{item.replica_id}")
+            )
+            known = self._own_orders[name] = (pool, tuple(ordered))
+        return known[1]
 
     def _why_not(self, call: StageCall, replica: Replica) -> str:
         """Return why the replica may not get this call, or an empty string."""
