Tie the take-over wait to the detection bound of membership

Cause: nothing checked that a new owner waits until the earlier one has noticed its loss and its loans have ended; the default was 0.5 s too long. Change: settings require take_over_wait_s >= suspicion_s + 4 probe_period_s + loan_duration_s; the default is that sum, 5.5 s. A loan stays 2 s long, since it must outlast a lost renewal whose call fails after 1 s. Conclusion: the loss of an entry VM stops lending of its replicas 0.5 s less.

--- a/egretshed/settings/load.py
+++ b/egretshed/settings/load.py
@@ -17,6 +17,9 @@
 )
 from egretshed.settings.schema import Settings
 
+# Settings are decimal fractions, whose sums are not exact in binary.
+ROUNDING_S = 1e-6
+
 
 def load_settings(path: Path) -> Result[Settings, SettingsInvalid]:
     """Return the settings in the JSON file at `path`, or every fault in it."""
@@ -62,9 +65,15 @@
                 "does not end a loan",
             )
         )
-    if slots.take_over_wait_s <= slots.loan_duration_s:
+    bound_s = settings.membership.detection_bound_s()
+    least_s = bound_s + slots.loan_duration_s
+    if slots.take_over_wait_s < least_s - ROUNDING_S:
         faults.append(
-            Fault("$.slots.take_over_wait_s", "must be longer than loan_duration_s")
+            Fault(
+                "$.slots.take_over_wait_s",
+                f"must be at least {least_s:g}: the detection bound of membership "
+                f"({bound_s:g}) and loan_duration_s",
+            )
         )
     if settings.plans.order_timeout_s * 2 > settings.plans.lease_s:
         faults.append(
--- a/egretshed/settings/schema.py
+++ b/egretshed/settings/schema.py
@@ -46,13 +46,26 @@
     address_keep_s: float = 5.0
     pause_limit_s: float = 1.0
 
+    def detection_bound_s(self) -> float:
+        """Return the time within which the death of a node is noticed, up to 10 nodes.
+
+        It is the suspicion time and four probe periods: the probe that fails, its
+        indirect probes, and the spread of the suspicion.
+        """
+        return self.suspicion_s + 4 * self.probe_period_s
+
 
 class SlotSettings(NamedTuple):
-    """Lending of replica slots."""
+    """Lending of replica slots.
+
+    A loan outlasts a renewal that is lost: 0.5 s to the renewal, 1 s until its call has
+    failed, and the next call. A new owner waits the detection bound of membership and
+    a loan duration, since the earlier one may lend and borrowers may use that long.
+    """
 
     loan_duration_s: float = 2.0
     renew_period_s: float = 0.5
-    take_over_wait_s: float = 6.0
+    take_over_wait_s: float = 5.5
     load_report_period_s: float = 0.5
 
 
--- a/egretshed/settings/tests/settings.feature
+++ b/egretshed/settings/tests/settings.feature
@@ -13,7 +13,10 @@
       | unknown section        | lending                       | {}      | $.lending               |
       | zero duration          | slots.loan_duration_s         | 0       | $.slots.loan_duration_s |
       | renewal too rare       | slots.renew_period_s          | 1.9     | $.slots.renew_period_s  |
-      | take-over too early    | slots.take_over_wait_s        | 0.5     | $.slots.take_over_wait_s |
+      | take-over too early    | slots.take_over_wait_s        | 5.4     | $.slots.take_over_wait_s |
+      | loan outlives the wait | slots.loan_duration_s         | 2.1     | $.slots.take_over_wait_s |
+      | suspicion outlives it  | membership.suspicion_s        | 1.6     | $.slots.take_over_wait_s |
+      | probes outlive it      | membership.probe_period_s     | 0.6     | $.slots.take_over_wait_s |
       | lease under an order   | plans.order_timeout_s         | 3.5     | $.plans.order_timeout_s |
       | no peer key            | peers.keys                    | []      | $.peers.keys            |
       | section is not object  | peers                         | 3       | $.peers                 |
--- a/standins/system.py
+++ b/standins/system.py
@@ -42,7 +42,7 @@
 FAST_SLOTS = {
     "loan_duration_s": 0.5,
     "renew_period_s": 0.1,
-    "take_over_wait_s": 0.51,
+    "take_over_wait_s": 0.9,
     "load_report_period_s": 0.1,
 }
 
