Tell borrowers of the first load report and stop waiting for late slots

Change: lends_after_ms has the poll period and the age of reports added while no report is known; a call waits only until the fastest tenth of the calls of its pool could no longer end in time.

--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -77,6 +77,8 @@
 
 STORE_EXPIRY_PERIOD_S = 1.0
 REFUSAL_RETURN_S = (0.2, 1.0)
+# Quantile of a pool's calls that counts as the least time that one may take.
+FASTEST_SHARE = 0.1
 
 
 class RunnerServices(NamedTuple):
@@ -382,8 +384,11 @@
             excluded_domains=away.excluded_domains,
             priority=run.submission.priority,
         )
+        # A slot that comes later would be used in vain.
+        fastest_s = self.services.stage_times.estimate_s(stage.pool, FASTEST_SHARE)
+        wait_s = max(0.0, remaining_s - fastest_s)
         try:
-            return await self.services.router.choose_within(call, remaining_s)
+            return await self.services.router.choose_within(call, wait_s)
         except NoReplicaAvailable as error:
             kind = RequestFailed if run.stream.sent_to_backend else NotRun
             after_s = error.fields.get("lends_after_s", 0.0)
--- a/egretshed/slots/lending.py
+++ b/egretshed/slots/lending.py
@@ -189,7 +189,13 @@
     def _lends_after_s(self, state: OwnedState, pool: Pool) -> float:
         now_s = self.env.clock.monotonic_s()
         longest_s = longest_call_s(self.configuration.current)
-        return state.window.lends_after_s(state.warmth.limit(pool), now_s, longest_s)
+        limit = state.warmth.limit(pool)
+        after_s = state.window.lends_after_s(limit, now_s, longest_s)
+        if state.foreign(pool, now_s, longest_s) < limit:
+            return after_s
+        # Nothing is lent before a load report shows what earlier owners left running.
+        period_s = self.env.settings.slots.load_report_period_s
+        return after_s + period_s + (state.report.age_s if state.report else 0.0)
 
     def _revoke(self, state: OwnedState, pool: Pool) -> None:
         now_s = self.env.clock.monotonic_s()
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -194,3 +194,13 @@
     Given 3 nodes that share a cold server
     When all nodes offer calls of 0.3 s for 20 s
     Then each node completed at least 10 calls
+
+  Scenario: A borrower learns for how long a new owner lends nothing
+    Guards against requests that wait their whole deadline for slots that nobody lends.
+    Given 3 nodes that share a warm server
+    When the owner dies and the others notice
+    And the survivors ask for a slot and 1 s pass
+    Then they are told that nothing is lent for 5 s
+    When 5.5 s pass
+    And the survivors ask for a slot and 1 s pass
+    Then they are told that nothing is lent for 0 s
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -448,3 +448,21 @@
 @then("each node completed at least {count:d} calls")
 def each_completed(context, count):
     assert min(context.completed.values()) >= count, context.completed
+
+
+def survivors(context):
+    return [node for node in context.nodes if not node.task.done()]
+
+
+@when("the survivors ask for a slot and {seconds:g} s pass")
+def survivors_ask(context, seconds):
+    for node in survivors(context):
+        node.service.borrower.note_demand(["p-0"])
+    run(context, context.clock.advance(seconds))
+
+
+@then("they are told that nothing is lent for {seconds:g} s")
+def told(context, seconds):
+    for node in survivors(context):
+        view = node.service.borrower.view("p-0")
+        assert abs(view.lends_after_s - seconds) < 0.8, view
