Judge the queue by the slots of its pool and tell late requests at once

Change: PoolCapacities.likely gives the slots that a node can count on; the queue is judged by them, and a queued request is refused as soon as its latest start has passed.

--- a/egretshed/admission/entries.py
+++ b/egretshed/admission/entries.py
@@ -45,6 +45,13 @@
     def pool(self) -> str:
         return self.request.stage_pools[-1] if self.request.stage_pools else ""
 
+    @property
+    def latest_start_s(self) -> float:
+        return self.deadline_at_s - self.cost_s
+
+    def start_order(self) -> tuple[float, int]:
+        return self.latest_start_s, self.number
+
     def deadline_order(self) -> tuple[float, int]:
         return self.deadline_at_s, self.number
 
--- a/egretshed/admission/fair_queue.py
+++ b/egretshed/admission/fair_queue.py
@@ -133,10 +133,10 @@
     def __init__(self, share_of: Callable[[str], float]):
         self._share_of = share_of
         self._levels: SortedDict = SortedDict()
-        self._by_deadline: SortedList = SortedList(key=Entry.deadline_order)
+        self._by_latest_start: SortedList = SortedList(key=Entry.start_order)
 
     def __len__(self) -> int:
-        return len(self._by_deadline)
+        return len(self._by_latest_start)
 
     @property
     def backlog_s(self) -> float:
@@ -146,13 +146,13 @@
     def add(self, entry: Entry) -> None:
         level = self._levels.setdefault(_key(entry), _Level())
         level.add(entry, self._share_of(entry.request.customer_id))
-        self._by_deadline.add(entry)
+        self._by_latest_start.add(entry)
 
     def remove(self, entry: Entry) -> bool:
         """Take an entry out; return False if it has left already."""
-        if entry not in self._by_deadline:
+        if entry not in self._by_latest_start:
             return False
-        self._by_deadline.remove(entry)
+        self._by_latest_start.remove(entry)
         self._levels[_key(entry)].remove(entry)
         return True
 
@@ -161,7 +161,7 @@
         return {pool for (_, pool), level in self._levels.items() if level.by_turn}
 
     def queued_for(self, pool: str) -> list[Entry]:
-        return [entry for entry in self._by_deadline if entry.pool == pool]
+        return [entry for entry in self._by_latest_start if entry.pool == pool]
 
     def pop(self, full_pools: Container[str] = ()) -> Entry | None:
         """Return the entry whose turn it is, passing over `full_pools`.
@@ -181,14 +181,16 @@
         if best is None:
             return None
         entry = best.pop()
-        self._by_deadline.remove(entry)
+        self._by_latest_start.remove(entry)
         return entry
 
-    def pop_expired(self, now_s: float) -> Entry | None:
+    def pop_late(self, now_s: float) -> Entry | None:
         """Return an entry that could not end in time even if it started now."""
-        if not self._by_deadline or self._by_deadline[0].deadline_at_s > now_s:
+        if not self._by_latest_start:
+            return None
+        entry = self._by_latest_start[0]
+        if entry.latest_start_s > now_s:
             return None
-        entry = self._by_deadline[0]
         self.remove(entry)
         return entry
 
--- a/egretshed/admission/queue.py
+++ b/egretshed/admission/queue.py
@@ -36,6 +36,9 @@
     def room(self, pool: str) -> int:
         """Return how many requests with their last stage at the pool may run."""
 
+    def likely(self, pool: str) -> int | None:
+        """Return how many slots of the pool can be counted on, or None if unknown."""
+
     def lends_after_s(self, pool: str) -> float:
         """Return for how long no slot of the pool can be had."""
 
@@ -136,9 +139,15 @@
         if len(self._queue) == 1 and self.concurrency.free() > 0:
             return True
         ahead_s = self._queue.ahead_s(entry) + entry.cost_s
-        wait_s = ahead_s / int(self.concurrency.limit)
+        wait_s = ahead_s / self._slots_for(entry)
         return wait_s + entry.cost_s <= entry.request.deadline_s
 
+    def _slots_for(self, entry: Entry) -> int:
+        """Return how many requests for the entry's pool are expected to run at once."""
+        limit = int(self.concurrency.limit)
+        likely = self._capacity.likely(entry.pool) if self._capacity else None
+        return limit if likely is None else max(1, min(limit, likely))
+
     def _lends_too_late(self, entry: Entry) -> bool:
         """Return whether no owner lends a slot of any stage within the deadline."""
         left_s = entry.deadline_at_s - self._env.clock.monotonic_s()
@@ -168,8 +177,9 @@
 
     def _dispatch(self) -> None:
         now_s = self._env.clock.monotonic_s()
-        while (expired := self._queue.pop_expired(now_s)) is not None:
-            self._drop(expired, "deadline_in_queue")
+        if not self._may_probe():
+            while (late := self._queue.pop_late(now_s)) is not None:
+                self._drop(late, "deadline_in_queue")
         self._drop_without_slots()
         full = self._full_pools()
         free = self.concurrency.free() if len(self._queue) else 0
@@ -230,7 +240,7 @@
 
     def _refuse(self, entry: Entry, reason: str) -> NotRun:
         self._refused.labels(reason).inc()
-        slots = int(self.concurrency.limit)
+        slots = self._slots_for(entry)
         after_s = self._returns.next_s(self._queue.backlog_s, entry.cost_s, slots)
         return NotRun(
             "the request was refused before it started",
--- a/egretshed/admission/tests/admission.feature
+++ b/egretshed/admission/tests/admission.feature
@@ -43,6 +43,8 @@
       | backlog too long         | 1     | 50   | 1    | 6     | 4        | 0       | waiting 2 too_late 4           | waiting 1           |
       | flood fills the queue    | 1     | 5    | 0.01 | 8     | 60       | 0       | waiting 4 queue_full 4         | waiting 1           |
       | deadline while queued    | 1     | 50   | 1    | 1     | 5        | 6       | deadline_in_queue 1            | deadline_in_queue 1 |
+      | told once it is too late | 1     | 50   | 1    | 1     | 5        | 4.1     | deadline_in_queue 1            | deadline_in_queue 1 |
+      | told no sooner           | 1     | 50   | 1    | 1     | 5        | 3.8     | waiting 1                      | waiting 1           |
       | cannot end even if first | 2     | 50   | 3    | 1     | 2        | 0       | too_late 1                     | too_late 1          |
 
   # Guards against refused callers that all return in the same second.
@@ -123,3 +125,9 @@
     Given 2 running requests at most, a queue of 5, calls of 9 s
     When customer "a" queues 2 requests with deadline 3 s
     Then 1 requests run
+
+  # Guards against a queue that is judged by the requests that a node may run at most.
+  Scenario: Requests that the slots of their pool cannot serve in time are refused
+    Given calls of 1 s on 4 slots, 4 of them in use
+    When customer "a" queues 20 requests with deadline 4 s
+    Then the answers of "a" are waiting 11 too_late 9
--- a/egretshed/admission/tests/steps/admission_steps.py
+++ b/egretshed/admission/tests/steps/admission_steps.py
@@ -30,12 +30,16 @@
 class FakeCapacity:
     def __init__(self, rooms):
         self.rooms = rooms
+        self.likely_slots = {}
         self.lends_after = Counter()
         self.asked = Counter()
 
     def room(self, pool):
         return self.rooms.get(pool, 0)
 
+    def likely(self, pool):
+        return self.likely_slots.get(pool)
+
     def lends_after_s(self, pool):
         return self.lends_after[pool]
 
@@ -282,3 +286,11 @@
 def returns_after(context, least_s):
     times_s = context.node.return_times()
     assert times_s and min(times_s) >= least_s, times_s
+
+
+@given("calls of {cost_s:g} s on {slots:d} slots, {running:d} of them in use")
+def likely_slots(context, cost_s, slots, running):
+    capacity = FakeCapacity({"pool": slots})
+    capacity.likely_slots["pool"] = slots
+    use_node(context, Node(50, cost_s=cost_s, capacity=capacity))
+    requests_run(context, running)
--- a/egretshed/routing/capacity.py
+++ b/egretshed/routing/capacity.py
@@ -13,10 +13,13 @@
 class PoolCapacity(NamedTuple):
     """`slots` are those held, used or not; `replica_ids` those that may get work.
 
+    `limit` is what all nodes together may use, as far as the owners have said.
+
     `lends_after_s` is how long no owner will lend a slot of the pool.
     """
 
     slots: int
+    limit: int
     lends_after_s: float
     replica_ids: tuple[str, ...]
 
@@ -24,9 +27,16 @@
 class PoolCapacities:
     """Capacities of all pools; `usable` returns the replicas that may get work."""
 
-    def __init__(self, env: Environment, borrower, usable: Callable[[str], list[str]]):
+    def __init__(
+        self,
+        env: Environment,
+        borrower,
+        membership,
+        usable: Callable[[str], list[str]],
+    ):
         self.env = env
         self.borrower = borrower
+        self.membership = membership
         self.usable = usable
         self._kept: dict[str, tuple[float, PoolCapacity]] = {}
 
@@ -38,6 +48,18 @@
         slots = self._of(pool).slots
         return slots + slots // 4
 
+    def likely(self, pool: str) -> int | None:
+        """Return the slots that this node can count on when all nodes are busy.
+
+        That is its even share of the limits or what it holds, if that is more; None
+        if no owner has answered yet.
+        """
+        capacity = self._of(pool)
+        if not capacity.limit:
+            return None
+        nodes = max(1, len(self.membership.heard()))
+        return max(capacity.slots, capacity.limit // nodes)
+
     def lends_after_s(self, pool: str) -> float:
         """Return how long no slot of the pool can be had; 0 if one may be had now."""
         return self._of(pool).lends_after_s
@@ -61,5 +83,6 @@
         usable = self.usable(pool)
         views = [self.borrower.view(replica_id) for replica_id in usable]
         slots = sum(view.held for view in views)
+        limit = sum(view.limit for view in views)
         soonest_s = min((view.lends_after_s for view in views), default=0.0)
-        return PoolCapacity(slots, 0.0 if slots else soonest_s, tuple(usable))
+        return PoolCapacity(slots, limit, 0.0 if slots else soonest_s, tuple(usable))
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -68,7 +68,7 @@
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
         self._line = WaitingLine()
-        self.capacities = PoolCapacities(env, borrower, self._usable_ids)
+        self.capacities = PoolCapacities(env, borrower, membership, self._usable_ids)
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
 
     def choose(self, call: StageCall) -> RoutingDecision:
