Rank a server by the calls given up at it and abandon only within the budget

Change: a call given up as too slow raises the predicted first token time of its server; nothing is abandoned while the budget has no retry.

--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -486,7 +486,11 @@
 
     def _could_move(self, run: _Run, stage: Stage, pace: CallPace) -> bool:
         """Whether another server of usual pace could complete the call in time."""
-        if not run.submission.kind.repeatable:
+        submission = run.submission
+        budgets = self.services.budgets
+        if not submission.kind.repeatable:
+            return False
+        if not budgets.has_retry(submission.customer_id, stage.name):
             return False
         times = self.services.stage_times
         usual_s = times.estimate_first_token_s(stage.pool)
--- a/egretshed/retries/budgets.py
+++ b/egretshed/retries/budgets.py
@@ -27,10 +27,14 @@
         for key in _keys(customer_id, stage):
             self._put(key, self._tokens(key) + share)
 
+    def has_retry(self, customer_id: str, stage: str) -> bool:
+        """Return whether the budget allows a retry now."""
+        return all(self._tokens(key) >= 1.0 for key in _keys(customer_id, stage))
+
     def allow_retry(self, customer_id: str, stage: str) -> bool:
         """Take one retry from the budget; False leaves the budget unchanged."""
         keys = _keys(customer_id, stage)
-        if any(self._tokens(key) < 1.0 for key in keys):
+        if not self.has_retry(customer_id, stage):
             self._refused.labels(stage).inc()
             return False
         for key in keys:
--- a/egretshed/routing/latency.py
+++ b/egretshed/routing/latency.py
@@ -30,6 +30,10 @@
         kept_s = self.first_token_high_s * HIGH_DECAY
         self.first_token_high_s = max(kept_s, result.first_token_s)
 
+    def observe_slow(self, taken_s: float) -> None:
+        """Rank a server by a call that was given up as too slow after `taken_s`."""
+        self.first_token_s = max(self.first_token_s, taken_s)
+
     def observe_late(self) -> None:
         """Raise the high mark, so that a server slow for good is not cold for good."""
         self.first_token_high_s *= 2
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -14,6 +14,7 @@
 from egretshed.errors import (
     BackendError,
     BackendRejected,
+    BackendSlow,
     EgretshedError,
     NoReplicaAvailable,
 )
@@ -178,6 +179,9 @@
         """Learn from the call; return what to release its slot with."""
         replica_id = decision.replica.replica_id
         seems_cold = isinstance(error, BackendRejected)
+        if isinstance(error, BackendSlow):
+            taken_s = self.env.clock.monotonic_s() - decision.decided_s
+            self._times.setdefault(replica_id, ReplicaTimes()).observe_slow(taken_s)
         if result is not None:
             seems_cold = self._learn(decision, result)
         if seems_cold:
--- a/egretshed/routing/tests/routing.feature
+++ b/egretshed/routing/tests/routing.feature
@@ -58,6 +58,7 @@
       | needless traffic between failure domains  | plain           | far            | chosen     |
       | distance outweighing load                 | load=6          | far            | not chosen |
       | a slow replica chosen over a fast one     | slow            | plain          | not chosen |
+      | a replica chosen whose call was given up  | given-up        | load=6         | not chosen |
 
   Scenario Outline: Two choices guard against <failure>
     Given a router with policy "least_loaded" over 2 replicas
--- a/egretshed/routing/tests/steps/routing_steps.py
+++ b/egretshed/routing/tests/steps/routing_steps.py
@@ -14,6 +14,7 @@
 )
 from egretshed.errors import (
     BackendRejected,
+    BackendSlow,
     BackendUnreachable,
     NoReplicaAvailable,
 )
@@ -239,6 +240,12 @@
         context.borrower.set(replica_id, limit=int(value))
     elif name == "far":
         declare(context, replica_id, failure_domain="b")
+    elif name == "given-up":
+        context.excluded = frozenset(context.ids) - {replica_id}
+        decision = context.router.choose(make_call(context))
+        context.excluded = frozenset()
+        asyncio.run(context.clock.advance(1.0))
+        context.router.observe(decision, None, BackendSlow())
     elif name == "slow":
         for _ in range(10):
             place_on(context, replica_id, 0.5)
