--- a/egretshed/admission/first_come.py
+++ b/egretshed/admission/first_come.py
@@ -34,6 +34,6 @@
         """Return the entry that arrived first, whatever its pool has room for."""
         return self._entries.pop(next(iter(self._entries)), None) if self else None
 
-    def pop_expired(self, now_s: float) -> Entry | None:
+    def pop_late(self, now_s: float) -> Entry | None:
         """Return None: an entry waits until its caller gives up."""
         return None
--- a/egretshed/routing/latency.py
+++ b/egretshed/routing/latency.py
@@ -48,6 +48,10 @@
         self.total_s += (result.total_s - self.total_s) * weight
         self._mark(result).observe(result.first_token_s)
 
+    def observe_slow(self, taken_s: float) -> None:
+        """Rank a server by a call that was given up as too slow after `taken_s`."""
+        self.first_token_s = max(self.first_token_s, taken_s)
+
     def observe_late(self, result: BackendResult) -> None:
         """Raise the high mark, so that a server slow for good is not cold for good."""
         self._mark(result).high_s *= 2
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -14,6 +14,7 @@
 from egretshed.errors import (
     BackendError,
     BackendRejected,
+    BackendSlow,
     EgretshedError,
     NoReplicaAvailable,
 )
@@ -68,7 +69,7 @@
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
         self._line = WaitingLine()
-        self.capacities = PoolCapacities(env, borrower, self._usable_ids)
+        self.capacities = PoolCapacities(env, borrower, membership, self._usable_ids)
         self._losses: dict[str, PrefixLosses] = {}
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
         self._own_orders: dict[str, tuple[Pool, tuple[Replica, ...]]] = {}
@@ -180,6 +181,9 @@
         """Learn from the call; return what to release its slot with."""
         replica_id = decision.replica.replica_id
         sign = "rejected" if isinstance(error, BackendRejected) else ""
+        if isinstance(error, BackendSlow):
+            taken_s = self.env.clock.monotonic_s() - decision.decided_s
+            self._times.setdefault(replica_id, ReplicaTimes()).observe_slow(taken_s)
         if result is not None:
             sign = self._learn(decision, result)
         seems_cold = bool(sign)
