Keep the slot of a given up call until its server has ended it

Cause: a call cancelled at its deadline freed its slot at once while the server went on with it: one engine had 15 calls in flight with a limit of 8, and a cold one 6 with a limit of 2; the overload made more calls late.

--- a/egretshed/backends/http.py
+++ b/egretshed/backends/http.py
@@ -73,9 +73,10 @@
         answer = await self._control("GET", "/load", None, CONTROL_TIMEOUT_S)
         return msgspec.convert(tuple(answer[f] for f in LoadReport._fields), LoadReport)
 
-    async def cancel(self, attempt_id: str) -> None:
+    async def cancel(self, attempt_id: str) -> bool:
         body = {"attempt_id": attempt_id}
-        await self._control("POST", "/cancel", body, CONTROL_TIMEOUT_S)
+        answer = await self._control("POST", "/cancel", body, CONTROL_TIMEOUT_S)
+        return bool(answer["cancelled"])
 
     async def order(self, order: BackendOrder) -> OrderResult:
         response = await self.fetch(
--- a/egretshed/backends/interface.py
+++ b/egretshed/backends/interface.py
@@ -98,7 +98,8 @@
 
     async def call(self, call: BackendCall, on_tokens: OnTokens) -> BackendResult: ...
 
-    async def cancel(self, attempt_id: str) -> None: ...
+    async def cancel(self, attempt_id: str) -> bool:
+        """Ask the server to end a call; return whether it still worked on it."""
 
     async def load(self) -> LoadReport: ...
 
--- /dev/null
+++ b/egretshed/callers/tests/steps/overload_steps.py
@@ -0,0 +1,56 @@
+import asyncio
+import json
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+ROUND_S = 0.1
+CUSTOMERS = ("val-david", "saint-sauveur")
+
+
+@given("every engine is {factor:g} times slower")
+def slower(context, factor):
+    for backend in context.system.host.backends:
+        if backend.spec.role == "engine":
+            backend.state.set_fault({"slow_factor": factor})
+
+
+@when(
+    "{rounds:d} rounds of {count:d} route questions with a deadline of "
+    "{deadline_s:g} s are given up"
+)
+def give_up(context, rounds, count, deadline_s):
+    async def submit(number):
+        customer = CUSTOMERS[number % len(CUSTOMERS)]
+        body = {
+            "request_id": f"late-{number}",
+            "kind": "route_question",
+            "body": {"prompt": "x" * 800, "session": str(number % 5)},
+            "deadline_s": deadline_s,
+        }
+        system = context.system
+        key = system.customer_keys[customer]
+        sent = json.dumps(body).encode()
+        return await system.fetch("POST", "/v1/requests", sent, key)
+
+    async def submit_all():
+        tasks = []
+        for number in range(rounds * count):
+            if number % count == 0:
+                await asyncio.sleep(ROUND_S)
+            tasks.append(asyncio.create_task(submit(number)))
+        return [response.code for response in await asyncio.gather(*tasks)]
+
+    context.codes = context.loop.run_until_complete(submit_all())
+
+
+@then("no backend server had more calls in flight than its limit")
+def within_limits(context):
+    records = [backend.state.to_record() for backend in context.system.host.backends]
+    given_up = sum(c["outcome"] == "cancelled" for r in records for c in r["calls"])
+    assert given_up > 0, "no call was given up"
+    over = {r["replica_id"]: r["overloaded_calls"] for r in records}
+    assert not any(over.values()), over
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -27,6 +27,7 @@
 from egretshed.errors import (
     AlreadyClaimed,
     BackendError,
+    BackendSilent,
     DeadlineExceeded,
     EarlierMayHaveRun,
     EgretshedError,
@@ -48,6 +49,7 @@
     cache_prefix,
     stage_form,
 )
+from egretshed.requests.stopping import CallStopper
 from egretshed.requests.store import StreamStore
 from egretshed.requests.stream import RequestStream
 from egretshed.requests.submission import Submission
@@ -70,6 +72,9 @@
 from egretshed.routing.router import Router
 
 STORE_EXPIRY_PERIOD_S = 1.0
+# Calls that were given up end at their servers within a step; a shutdown waits for that
+# before it hands back the slots.
+STOP_WAIT_S = 2.0
 REFUSAL_RETURN_S = (0.2, 1.0)
 
 
@@ -107,13 +112,17 @@
         self.store = StreamStore(env)
         self._runs: dict[str, _Run] = {}
         self._attempt_numbers = itertools.count(1)
+        self._stopper = CallStopper(env, services.router, services.backends)
         self._refusal = ""
 
     async def run(self) -> None:
         """Expire finished streams until cancelled."""
-        while True:
-            await self.env.clock.sleep(STORE_EXPIRY_PERIOD_S)
-            self.store.expire()
+        try:
+            while True:
+                await self.env.clock.sleep(STORE_EXPIRY_PERIOD_S)
+                self.store.expire()
+        finally:
+            self._stopper.close()
 
     def submit(self, submission: Submission, restarted: bool = False) -> RequestStream:
         """Start the request, or join it if this node already has its id.
@@ -167,12 +176,14 @@
         """Wait for running requests to end; return how many had to be cut."""
         tasks = [run.task for run in self._runs.values()]
         if not tasks:
+            await self._stopper.finish(STOP_WAIT_S)
             return 0
         _, late = await asyncio.wait(tasks, timeout=limit_s)
         for task in late:
             task.cancel()
         if late:
             await asyncio.wait(late, timeout=1.0)
+        await self._stopper.finish(STOP_WAIT_S)
         return len(late)
 
     def running_count(self) -> int:
@@ -390,12 +401,16 @@
         try:
             await self._claim(run)
             result = await self._call(run, stage, state, form, decision)
+        except BackendSilent as error:
+            router.observe(decision, None, error, ended=False)
+            self._stopper.stop(decision)
+            raise
         except EgretshedError as error:
             router.observe(decision, None, error)
             raise
         except asyncio.CancelledError:
-            router.observe(decision, None, RequestCancelled())
-            self._cancel_at_backend(decision)
+            router.observe(decision, None, RequestCancelled(), ended=False)
+            self._stopper.stop(decision)
             raise
         router.observe(decision, result, None)
         self.services.stage_times.observe(
@@ -458,11 +473,6 @@
             return
         run.stream.append_tokens(event.tokens)
 
-    def _cancel_at_backend(self, decision: RoutingDecision) -> None:
-        backend = self.services.backends.get(decision.replica.replica_id)
-        task = asyncio.create_task(backend.cancel(decision.call.attempt_id))
-        task.add_done_callback(lambda t: t.cancelled() or t.exception())
-
     def _next_attempt_id(self) -> str:
         identity = self.env.identity
         number = next(self._attempt_numbers)
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -47,6 +47,9 @@
 # a renewal per period, so the cost must not grow with the pool.
 PART_REPLICAS = 8
 MAX_DOUBLINGS = 10
+GIVEN_UP = CallObservation(
+    completed=False, first_token_s=0.0, total_s=0.0, seems_cold=False
+)
 
 
 class Router:
@@ -99,8 +102,12 @@
         decision: RoutingDecision,
         result: BackendResult | None,
         error: EgretshedError | None,
+        ended: bool = True,
     ) -> None:
-        """Release the slot and learn from the call; neither given means cancelled."""
+        """Learn from the call and release its slot; neither given means cancelled.
+
+        A call that its server may not have `ended` keeps its slot until `release`.
+        """
         replica_id = decision.replica.replica_id
         sign = "rejected" if isinstance(error, BackendRejected) else ""
         if result is not None:
@@ -114,6 +121,8 @@
         elif result is not None:
             self.hints.note(replica_id, decision.call.prefix)
         self._judge(decision, result, error)
+        if not ended:
+            return
         self.borrower.release(
             decision.slot,
             CallObservation(
@@ -124,6 +133,10 @@
             ),
         )
 
+    def release(self, decision: RoutingDecision) -> None:
+        """Release the slot of a call that was observed before it had ended."""
+        self.borrower.release(decision.slot, GIVEN_UP)
+
     async def run(self) -> None:
         """Follow the engines' cache events until cancelled."""
         while True:
