--- a/bench/windows.py
+++ b/bench/windows.py
@@ -7,7 +7,7 @@
     summarise,
 )
 
-ROW = "{:<22}{:>9}{:>10}{:>9}{:>9}{:>14}{:>12}"
+ROW = "{:<14}{:>9}{:>9}{:>10}{:>6}{:>17}{:>11}"
 
 
 class Window(NamedTuple):
