--- a/bench/soak.py
+++ b/bench/soak.py
@@ -36,6 +36,8 @@
 )
 from bench.traces import (
     logged_faults,
+    refusals_without_return,
+    silent_ends,
     unexplained_losses,
 )
 
@@ -112,6 +114,8 @@
     return [
         *logged_faults(soak.run.cluster.folder),
         *unexplained_losses(callers, soak.history),
+        *silent_ends(callers),
+        *refusals_without_return(callers),
         *(Breach("run", text) for text in soak.breaches),
     ]
 
--- a/bench/tests/steps/traces_steps.py
+++ b/bench/tests/steps/traces_steps.py
@@ -1,3 +1,4 @@
+import json
 import tempfile
 from pathlib import Path
 
@@ -10,6 +11,8 @@
 from bench.disturbances import Disturbance
 from bench.traces import (
     logged_faults,
+    refusals_without_return,
+    silent_ends,
     unexplained_losses,
 )
 from bench.watch import (
@@ -53,6 +56,22 @@
     context.found = lower_versions(sights)
 
 
+@given(
+    "a request that ended as {outcome} after an answer {answer} with return {return_s}"
+)
+def ended(context, outcome, answer, return_s):
+    answers = [
+        {
+            "request_id": "r-1",
+            "outcome": answer,
+            "reason": "",
+            "retry_after_s": json.loads(return_s),
+        }
+    ]
+    callers = [{"request_id": "r-1", "outcome": outcome, "answers": answers}]
+    context.found = [*silent_ends(callers), *refusals_without_return(callers)]
+
+
 @then('the promises "{promises}" are broken')
 def are_broken(context, promises):
     assert {breach.promise for breach in context.found} == {promises}, context.found
--- a/bench/tests/traces.feature
+++ b/bench/tests/traces.feature
@@ -37,3 +37,15 @@
       | versions | promises |
       | 1 2 2 3  |          |
       | 1 3 2 3  | P9       |
+
+  Scenario Outline: A request ends as <outcome> after an answer <answer>
+    # Guards against callers left alone, and refusals that do not say when to return.
+    Given a request that ended as <outcome> after an answer <answer> with return <return>
+    Then the promises "<promises>" are broken
+
+    Examples:
+      | outcome   | answer  | return | promises |
+      | not_run   | not_run | 0.5    |          |
+      | not_run   | not_run | null   | refusal  |
+      | no_answer | lost    | null   |          |
+      | no_answer | not_run | 0.5    | P4       |
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -76,3 +76,19 @@
         and answer["sent_s"] < item.end_s + NOTICE_S
         for item in history
     )
+
+
+def silent_ends(callers: Iterable[dict[str, Any]]) -> Iterator[Breach]:
+    """Return requests without a final answer that lost no connection either."""
+    for caller in callers:
+        outcomes = [answer["outcome"] for answer in caller["answers"]]
+        if caller["outcome"] == "no_answer" and "lost" not in outcomes:
+            yield Breach("P4", f"{caller['request_id']} ended without any answer")
+
+
+def refusals_without_return(callers: Iterable[dict[str, Any]]) -> Iterator[Breach]:
+    """Return `not_run` answers that do not say when to come back."""
+    for caller in callers:
+        for answer in caller["answers"]:
+            if answer["outcome"] == "not_run" and answer["retry_after_s"] is None:
+                yield Breach("refusal", f"{answer['request_id']}: {answer['reason']}")
