--- a/egretshed/cli/commands/configuration.py
+++ b/egretshed/cli/commands/configuration.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import (
+    Annotated,
+    Any,
+)
 
 import cappa
 
@@ -83,9 +86,9 @@
     async def run(self, session: Session) -> ExitStatus:
         if self.file.is_dir():
             raise usage_error(f"{self.file} is a folder; use: egretshed apply")
-        arguments = {"changes": read_declarations(self.file)}
-        return await propose(
-            session, "configuration", arguments, self.confirm, self.accept_low_capacity
+        changes = read_declarations(self.file)
+        return await propose_changes(
+            session, changes, self.confirm, self.accept_low_capacity
         )
 
 
@@ -117,25 +120,31 @@
         if not self.folder.is_dir():
             raise usage_error(f"{self.folder} is not a folder")
         declared = read_declarations(self.folder)
-        in_force = (await session.get("/configuration"))["objects"]
-        changes = {
-            id_: body for id_, body in declared.items() if in_force.get(id_) != body
-        }
         if self.prune:
-            changes |= {id_: None for id_ in in_force if id_ not in declared}
-        if not changes:
-            self.print_nothing(session)
-            return ExitStatus.SUCCESS
-        return await propose(
-            session,
-            "configuration",
-            {"changes": changes},
-            self.confirm,
-            self.accept_low_capacity,
+            in_force = (await session.get("/configuration"))["objects"]
+            declared |= {id_: None for id_ in in_force if id_ not in declared}
+        return await propose_changes(
+            session, declared, self.confirm, self.accept_low_capacity
         )
 
-    def print_nothing(self, session: Session) -> None:
-        if session.printer.is_json:
-            session.printer.json({"changes": {}})
-        else:
-            session.printer.line(NOTHING_TO_DO)
+
+async def propose_changes(
+    session: Session, bodies: dict[str, Any], confirm: bool, accept_low_capacity: bool
+) -> ExitStatus:
+    """Propose those of `bodies` that differ from the objects in force, if any do."""
+    in_force = (await session.get("/configuration"))["objects"]
+    changes = {id_: body for id_, body in bodies.items() if in_force.get(id_) != body}
+    if not changes:
+        print_nothing(session)
+        return ExitStatus.SUCCESS
+    arguments = {"changes": changes}
+    return await propose(
+        session, "configuration", arguments, confirm, accept_low_capacity
+    )
+
+
+def print_nothing(session: Session) -> None:
+    if session.printer.is_json:
+        session.printer.json({"changes": {}})
+    else:
+        session.printer.line(NOTHING_TO_DO)
--- a/egretshed/cli/commands/send.py
+++ b/egretshed/cli/commands/send.py
@@ -32,6 +32,7 @@
 
 DEFAULT_DEADLINE_S = 60.0
 GRACE_S = 5.0
+STREAM_HEADER = "x-stream-id"
 OUTCOME_STATUS = {
     "complete": ExitStatus.SUCCESS,
     "not_run": ExitStatus.REFUSED,
@@ -69,7 +70,8 @@
         self.session = session
         self.submission = submission
         self.end_s = session.client.env.now() + deadline_s
-        self.last_id = ""
+        self.stream_id = ""
+        self.last_id = 0
         self.final: dict[str, Any] | None = None
         self.submitted = False
 
@@ -100,10 +102,10 @@
             url,
             "POST",
             "/v1/requests",
-            {**self.submission, "deadline_s": remaining_s},
-            headers={"Last-Event-ID": self.last_id} if self.last_id else {},
+            self._body(remaining_s),
             request_timeout=remaining_s + GRACE_S,
             streaming_callback=reader.feed,
+            header_callback=self._note_header,
         )
         response = await client.env.http.fetch(request, raise_error=False)
         self.submitted = True
@@ -111,9 +113,25 @@
             response._body = reader.raw
             read_answer(response)
 
+    def _body(self, remaining_s: float) -> dict[str, Any]:
+        body = {**self.submission, "deadline_s": remaining_s}
+        # Otherwise a refusal by the next node could hide that this one ran it.
+        body["resubmission"] = self.submitted
+        if self.stream_id:
+            body["resume"] = {
+                "stream_id": self.stream_id,
+                "after_sequence": self.last_id,
+            }
+        return body
+
+    def _note_header(self, line: str) -> None:
+        name, _, value = line.partition(":")
+        if name.lower() == STREAM_HEADER:
+            self.stream_id = value.strip()
+
     def _take(self, event: ServerEvent) -> None:
         self.submitted = True
-        self.last_id = event.id or self.last_id
+        self.last_id = int(event.id or self.last_id)
         data = msgspec.json.decode(event.data or "{}")
         printer = self.session.printer
         if event.event == "final":
--- a/egretshed/cli/tests/steps/cli_steps.py
+++ b/egretshed/cli/tests/steps/cli_steps.py
@@ -1,5 +1,4 @@
 import asyncio
-import io
 import json
 import tempfile
 from pathlib import Path
@@ -9,11 +8,12 @@
     then,
     when,
 )
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.web import RequestHandler
 
-from egretshed.cli.environment import CliEnvironment
-from egretshed.cli.main import run
+from egretshed.cli.tests.tool import (
+    plan_names,
+    run_tool,
+)
 from egretshed.operators.tests.app import OperatorApp
 from egretshed.plans.tests.fakes import declared_objects
 
@@ -25,12 +25,14 @@
     """Answers by kind; a broken stream is finished when it is taken up."""
 
     async def post(self):
-        kind = json.loads(self.request.body)["kind"]
+        body = json.loads(self.request.body)
+        kind = body["kind"]
         if kind == "refused":
             self.set_status(400)
             await self.finish(REFUSAL)
             return
-        taken_up = self.request.headers.get("Last-Event-ID") == "1"
+        self.set_header("X-Stream-Id", "s1")
+        taken_up = body.get("resume") == {"stream_id": "s1", "after_sequence": 1}
         events = [] if taken_up else [TOKENS]
         if kind == "reset":
             events += [("reset", {}), TOKENS]
@@ -89,17 +91,9 @@
     argv = [context.names.get(word, word) for word in command.split()]
     variables = {"EGRETSHED_NODES": context.app.url, "EGRETSHED_KEY": "boss"}
 
-    async def run_once():
-        http = SimpleAsyncHTTPClient(force_instance=True)
-        out, err = io.StringIO(), io.StringIO()
-        now = context.app.cluster.clock.monotonic_s
-        env = CliEnvironment(out, err, http, now, variables)
-        return await run(argv, env), out.getvalue(), err.getvalue()
-
-    context.status, context.stdout, context.stderr = context.runner.run(run_once())
-    if context.stdout.startswith("{") and '"digest"' in context.stdout:
-        plan = json.loads(context.stdout)
-        context.names |= {"PLAN": plan["plan_id"], "DIGEST": plan["digest"]}
+    now = context.app.cluster.clock.monotonic_s
+    context.result = context.runner.run(run_tool(argv, variables, now))
+    context.names |= plan_names(context.result)
 
 
 @when("{seconds:d} s pass")
@@ -109,6 +103,5 @@
 
 @then('it exits with {status:d} and prints "{text}" on {stream}')
 def exits(context, status, text, stream):
-    seen = f"{context.status!r}\n{context.stdout}\n{context.stderr}"
-    assert context.status == status, seen
-    assert text in getattr(context, stream), seen
+    assert context.result.status == status, context.result
+    assert text in getattr(context.result, stream), context.result
