--- a/bench/rows.py
+++ b/bench/rows.py
@@ -10,11 +10,11 @@
     Breach,
     Observed,
 )
-from bench.control_cost import ControlCost
 from bench.costs import (
     cost_by_stage,
     wasted_share,
 )
+from bench.node_cost import ControlCost
 from bench.records import (
     RequestRecord,
     summarise,
@@ -56,7 +56,7 @@
     that could be (`bench.capacity.Capacity.most_in_time`). `control_cpu_share` is the
     CPU share of the busiest node without any load, `control_bytes_per_s` the bytes of
     the busiest node to and from other nodes under load, and `control_memory_mb` the
-    highest resident set of a node (`bench.control_cost`). Percentiles come from HDR
+    highest resident set of a node (`bench.node_cost`). Percentiles come from HDR
     histograms with 3 significant digits (`bench.records`).
     """
     observed = measured.observed
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -39,10 +39,16 @@
 )
 from egretshed.invariants import require
 from egretshed.logs import log_event
+from egretshed.requests.abandon import AbandonedCalls
 from egretshed.requests.outcomes import (
     complete_outcome,
     outcome_of,
 )
+from egretshed.requests.pace import (
+    CallPace,
+    UsualPaces,
+    within_pace,
+)
 from egretshed.requests.stages import (
     PipelineState,
     cache_prefix,
@@ -71,6 +77,8 @@
 
 STORE_EXPIRY_PERIOD_S = 1.0
 REFUSAL_RETURN_S = (0.2, 1.0)
+# Quantile of a pool's calls that counts as the least time that one may take.
+FASTEST_SHARE = 0.1
 
 
 class RunnerServices(NamedTuple):
@@ -105,6 +113,8 @@
         self.env = env
         self.services = services
         self.store = StreamStore(env)
+        self.abandoned = AbandonedCalls(env.clock, services.router, services.backends)
+        self._paces = UsualPaces()
         self._runs: dict[str, _Run] = {}
         self._attempt_numbers = itertools.count(1)
         self._refusal = ""
@@ -372,15 +382,21 @@
             prefix=cache_prefix(state),
             excluded_replicas=away.excluded_replicas,
             excluded_domains=away.excluded_domains,
+            priority=run.submission.priority,
         )
+        # A slot that comes later would be used in vain.
+        fastest_s = self.services.stage_times.estimate_s(stage.pool, FASTEST_SHARE)
+        wait_s = max(0.0, remaining_s - fastest_s)
         try:
-            return await self.services.router.choose_within(call, remaining_s)
+            return await self.services.router.choose_within(call, wait_s)
         except NoReplicaAvailable as error:
             kind = RequestFailed if run.stream.sent_to_backend else NotRun
+            after_s = error.fields.get("lends_after_s", 0.0)
             raise kind(
                 f"no replica of {stage.pool} is available",
                 reason="no_replica",
                 stage=stage.name,
+                retry_after_s=after_s + self.env.random.uniform(*REFUSAL_RETURN_S),
             ) from error
 
     async def _attempt(
@@ -391,13 +407,18 @@
             await self._claim(run)
             result = await self._call(run, stage, state, form, decision)
         except EgretshedError as error:
-            router.observe(decision, None, error)
+            if isinstance(error, BackendError) and may_have_run(error):
+                self.abandoned.add(decision, error)
+            else:
+                router.observe(decision, None, error)
             raise
         except asyncio.CancelledError:
-            router.observe(decision, None, RequestCancelled())
-            self._cancel_at_backend(decision)
+            self.abandoned.add(decision, RequestCancelled())
             raise
         router.observe(decision, result, None)
+        self._paces.observe(
+            stage.pool, result.generated_tokens, result.total_s - result.first_token_s
+        )
         self.services.stage_times.observe(
             stage.pool, result.total_s, result.first_token_s
         )
@@ -437,10 +458,24 @@
         run.stream.sent_to_backend = True
         backend = self.services.backends.get(decision.replica.replica_id)
 
+        pace = CallPace(
+            call.payload.get("max_tokens", 0),
+            run.end_s,
+            self._paces.token_s(stage.pool),
+        )
+
         def on_tokens(event: TokenEvent) -> None:
+            pace.note(len(event.tokens), self.env.clock.monotonic_s())
             self._on_tokens(run, attempt_id, event)
 
-        result = await backend.call(call, on_tokens)
+        def could_move() -> bool:
+            return self._could_move(run, stage, pace)
+
+        work = asyncio.ensure_future(backend.call(call, on_tokens))
+        if pace.usual_token_s is None:
+            result = await work
+        else:
+            result = await within_pace(self.env.clock, work, pace, could_move)
         require(
             self.env,
             result.attempt_id == run.attempt_id,
@@ -449,6 +484,19 @@
         )
         return result
 
+    def _could_move(self, run: _Run, stage: Stage, pace: CallPace) -> bool:
+        """Whether another server of usual pace could complete the call in time."""
+        submission = run.submission
+        budgets = self.services.budgets
+        if not submission.kind.repeatable:
+            return False
+        if not budgets.has_retry(submission.customer_id, stage.name):
+            return False
+        times = self.services.stage_times
+        usual_s = times.estimate_first_token_s(stage.pool)
+        usual_s += pace.expected_tokens * pace.usual_token_s
+        return self.env.clock.monotonic_s() + usual_s <= run.end_s
+
     def _on_tokens(self, run: _Run, attempt_id: str, event: TokenEvent) -> None:
         """Keep tokens of the current attempt; drop those of an abandoned one."""
         if run.attempt_id != attempt_id or run.stream.finished:
@@ -458,11 +506,6 @@
             return
         run.stream.append_tokens(event.tokens)
 
-    def _cancel_at_backend(self, decision: RoutingDecision) -> None:
-        backend = self.services.backends.get(decision.replica.replica_id)
-        task = asyncio.create_task(backend.cancel(decision.call.attempt_id))
-        task.add_done_callback(lambda t: t.cancelled() or t.exception())
-
     def _next_attempt_id(self) -> str:
         identity = self.env.identity
         number = next(self._attempt_numbers)
--- a/egretshed/routing/tests/steps/routing_steps.py
+++ b/egretshed/routing/tests/steps/routing_steps.py
@@ -14,6 +14,7 @@
 )
 from egretshed.errors import (
     BackendRejected,
+    BackendSlow,
     BackendUnreachable,
     NoReplicaAvailable,
 )
@@ -40,11 +41,16 @@
 PREFIX = "plan the route"
 
 
+@given('a router with policy "{policy}" over {count:d} replicas and "{name}" off')
+def router_without(context, policy, count, name):
+    router(context, policy, count, **{name: False})
+
+
 @given('a router with policy "{policy}" over {count:d} replicas')
-def router(context, policy, count):
+def router(context, policy, count, **fields):
     context.clock = ManualClock()
     context.log = io.StringIO()
-    settings = make_settings(routing={"policy": policy})
+    settings = make_settings(routing={"policy": policy, **fields})
     env = make_environment(context.clock, settings=settings)
     env = env._replace(logger=make_logger("entry-1", stream=context.log))
     context.env = env
@@ -239,6 +245,12 @@
         context.borrower.set(replica_id, limit=int(value))
     elif name == "far":
         declare(context, replica_id, failure_domain="b")
+    elif name == "given-up":
+        context.excluded = frozenset(context.ids) - {replica_id}
+        decision = context.router.choose(make_call(context))
+        context.excluded = frozenset()
+        asyncio.run(context.clock.advance(1.0))
+        context.router.observe(decision, None, BackendSlow())
     elif name == "slow":
         for _ in range(10):
             place_on(context, replica_id, 0.5)
@@ -257,8 +269,10 @@
         context.router.hints.note("p-0", PREFIX)
     decision = context.router.choose(make_call(context))
     result = error = None
-    if end.startswith("a first token after"):
+    if end.startswith("a first token"):
         result = make_result(decision, float(end.split()[-2]))
+        if "3000 prompt tokens" in end:
+            result = result._replace(prompt_tokens=3000)
     elif end.startswith("nothing cached"):
         result = make_result(decision, 0.2, cached_tokens=0)
     elif end == "a rejection":
@@ -281,6 +295,30 @@
         place_on(context, "p-0", first_token_s)
 
 
+def repeated(text):
+    """Return the words of `text`, those with ``*n`` n times."""
+    pairs = (word.partition("*") for word in text.split())
+    return [word for word, _, times in pairs for _ in range(int(times or 1))]
+
+
+@when('calls with the prefix "{expected}" end, found or lost as in "{found}"')
+def prefix_calls(context, expected, found):
+    held = PREFIX if expected == "as computed" else PREFIX[:-1] + "!"
+    for word in repeated(found):
+        hints = context.router.hints
+        hints.forget("p-0")
+        hints.note("p-0", held)
+        decision = context.router.choose(make_call(context))
+        result = make_result(decision, 0.2, cached_tokens=9 if word == "f" else 0)
+        context.router.observe(decision, result, None)
+
+
+@then('the signs of coldness are "{signs}"')
+def cold_signs(context, signs):
+    seen = ["cold" if s.seems_cold else "none" for _, s in context.borrower.released]
+    assert seen == repeated(signs), seen
+
+
 @then("the last of them does not seem cold")
 def last_not_cold(context):
     signs = [seen.seems_cold for _, seen in context.borrower.released]
@@ -379,3 +417,81 @@
 def placed_after(context, after_s):
     assert not context.waited
     assert context.decision.replica.replica_id == "p-0"
+
+
+@given("calls wait for a slot: {waiting}")
+def calls_wait(context, waiting):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.placed = []
+    context.loop.run_until_complete(start_waiting(context, waiting))
+
+
+async def start_waiting(context, waiting):
+    context.borrower.changed = asyncio.Event()
+    for replica_id in context.ids:
+        context.borrower.set(replica_id, free=0)
+    context.tasks = {}
+    for text in waiting.split():
+        name, priority, seconds, *exclusion = text.split(":")
+        call = make_call(context)._replace(
+            request_id=name,
+            priority=int(priority[1:]),
+            remaining_s=float(seconds[:-1]),
+            excluded_replicas=frozenset(e.removeprefix("not-") for e in exclusion),
+        )
+        context.tasks[name] = asyncio.ensure_future(wait_placed(context, call))
+    await context.clock.settle()
+
+
+async def wait_placed(context, call):
+    decision = await context.router.choose_within(call, call.remaining_s)
+    context.placed.append(decision.call.request_id)
+
+
+@when("the slots {freed} become free one after the other")
+def slots_become_free(context, freed):
+    context.loop.run_until_complete(free_slots(context, freed.split()))
+
+
+async def free_slots(context, replica_ids):
+    for replica_id in replica_ids:
+        context.borrower.set(replica_id, free=1)
+        context.borrower.changed.set()
+        context.borrower.changed.clear()
+        await context.clock.advance(0.5)
+
+
+@when("a slot of p-0 becomes free and a call of priority 6 asks before a wakes")
+def newcomer_asks(context):
+    context.loop.run_until_complete(ask_late(context))
+
+
+async def ask_late(context):
+    context.borrower.set("p-0", free=1)
+    newcomer = make_call(context)._replace(request_id="new", priority=6)
+    task = asyncio.ensure_future(wait_placed(context, newcomer))
+    await context.clock.settle()
+    task.cancel()
+
+
+@when("a slot of p-0 becomes free and a is cancelled before it wakes")
+def cancelled_when_placed(context):
+    context.loop.run_until_complete(cancel_placed(context))
+
+
+async def cancel_placed(context):
+    context.borrower.set("p-0", free=1)
+    context.router._serve_line("p")
+    context.tasks["a"].cancel()
+    await context.clock.settle()
+
+
+@then("the calls are placed in the order {order}")
+def placed_in_order(context, order):
+    assert context.placed == order.split(), context.placed
+
+
+@then("{replica_id} has {count:d} free slot")
+def has_free(context, replica_id, count):
+    assert context.borrower.views[replica_id].free == count
--- a/egretshed/slots/lending.py
+++ b/egretshed/slots/lending.py
@@ -134,6 +134,17 @@
             if replica_id in self._states and self._is_owner(replica)
         ]
 
+    def take_over_wait_s(self) -> float:
+        """Return how long a new owner lends nothing.
+
+        An earlier owner may lend until it has noticed that it was cut off, and its
+        loans last for a loan duration after that. The time to notice grows with the
+        fleet, so the setting is only the least wait.
+        """
+        slots = self.env.settings.slots
+        earlier_s = self.membership.detection_bound_s() + slots.loan_duration_s
+        return max(slots.take_over_wait_s, earlier_s)
+
     def _report(
         self,
         state: OwnedState,
@@ -183,8 +194,20 @@
             in_flight_calls=state.report.in_flight if state.report else 0,
             warm=state.warmth.state == "warm",
             load_age_ms=min(MAX_LOAD_AGE_MS, math.ceil(age_s * 1000)),
+            lends_after_ms=math.ceil(self._lends_after_s(state, pool) * 1000) or None,
         )
 
+    def _lends_after_s(self, state: OwnedState, pool: Pool) -> float:
+        now_s = self.env.clock.monotonic_s()
+        longest_s = longest_call_s(self.configuration.current)
+        limit = state.warmth.limit(pool)
+        after_s = state.window.lends_after_s(limit, now_s, longest_s)
+        if state.foreign(pool, now_s, longest_s) < limit:
+            return after_s
+        # Nothing is lent before a load report shows what earlier owners left running.
+        period_s = self.env.settings.slots.load_report_period_s
+        return after_s + period_s + (state.report.age_s if state.report else 0.0)
+
     def _revoke(self, state: OwnedState, pool: Pool) -> None:
         now_s = self.env.clock.monotonic_s()
         if now_s < state.window.resumes_s:
@@ -202,10 +225,12 @@
     def _observe(self, replica: Replica) -> OwnedState:
         """Return the replica's state with its share as of now."""
         now_s = self.env.clock.monotonic_s()
+        wait_s = self.take_over_wait_s()
         state = self._states.get(replica.replica_id)
         if state is None:
-            state = OwnedState(self.env, replica.replica_id, now_s)
+            state = OwnedState(self.env, replica.replica_id, now_s, wait_s)
             self._states[replica.replica_id] = state
+        state.window.wait_s = wait_s
         share = None
         if self.membership.is_settled() and self._is_owner(replica):
             share = self.membership.lending_share(self._region(replica))
@@ -255,6 +280,9 @@
 
     async def _poll(self, state: OwnedState, replica_id: str) -> None:
         was = state.warmth.state
+        self.env.metrics.counter(
+            "slots_load_polls_total", "Load reports asked of backend servers"
+        ).inc()
         try:
             report = await self.backends.get(replica_id).load()
         except EgretshedError as error:
