--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -23,6 +23,7 @@
 from bench.process_cost import (
     Fit,
     fit_line,
+    fit_plane,
     metric_values,
     process_cpu_s,
     process_rss_bytes,
@@ -194,8 +195,11 @@
         for field, (unit, factor) in FIGURES.items():
             points = [(c.nodes, getattr(c, field) * factor) for c in idle]
             print(f"  {field}: {_text(fit_line(points), unit, 'node')}")
-        points = [(c.load_polls, c.cpu * 100) for c in idle]
-        print(f"  cpu: {_text(fit_line(points), '% of a core', 'load poll/s')}")
+        plane = fit_plane([(c.load_polls, c.nodes, c.cpu * 100) for c in idle])
+        print(
+            f"  cpu: {plane.base:.3f} % of a core + {plane.first:.4f} for each load "
+            f"poll/s + {plane.second:.4f} for each node, spread {plane.spread:.3f}"
+        )
     if any(c.fleet_rate for c in costs):
         points = [(c.requests, c.cpu * 100) for c in costs]
         print(f"cpu over load: {_text(fit_line(points), '% of a core', 'request/s')}")
@@ -228,7 +232,12 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="of each interval")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--write", type=Path)
+    parser.add_argument("--read", type=Path, help="report on an earlier run only")
     options = parser.parse_args()
+    if options.read:
+        fields = msgspec.json.decode(options.read.read_bytes())
+        print_report([NodeCost(**cost) for cost in fields])
+        return
     if max(options.sizes) > MAX_NODES:
         parser.error(f"at most {MAX_NODES} nodes on one machine")
     costs = []
--- a/bench/process_cost.py
+++ b/bench/process_cost.py
@@ -31,6 +31,33 @@
     return Fit(base, slope, statistics.pstdev(rests))
 
 
+class PlaneFit(NamedTuple):
+    """Least-squares plane over two causes; `spread` as in `Fit`."""
+
+    base: float
+    first: float
+    second: float
+    spread: float
+
+
+def fit_plane(points: list[tuple[float, float, float]]) -> PlaneFit:
+    """Fit z over x and y, which must not lie on one line.
+
+    The slope over x is that of z over the part of x that y does not explain.
+    """
+    xs, ys, zs = zip(*points, strict=True)
+    first = _slope_beyond(xs, ys, zs)
+    second = _slope_beyond(ys, xs, zs)
+    rests = [z - first * x - second * y for x, y, z in points]
+    return PlaneFit(statistics.mean(rests), first, second, statistics.pstdev(rests))
+
+
+def _slope_beyond(xs, others, zs) -> float:
+    explained = fit_line(list(zip(others, xs, strict=True)))
+    rests = [x - explained.at(o) for x, o in zip(xs, others, strict=True)]
+    return statistics.linear_regression(rests, zs).slope
+
+
 def cpu_s(stat: str) -> float:
     """Return user and system time of the text of ``/proc/<pid>/stat``.
 
--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -1,9 +1,9 @@
 """Measures the CPU of one daemon per request and per streamed token.
 
 Callers stream requests of four stages through one node, several at a time. CPU per
-request is fitted over the number of tokens asked for: the base is what a request costs,
-the slope what a token adds. Coalescing is measured at several values of
-`streams.coalesce_s`.
+request, less what the idle node uses, is fitted over the number of tokens: the base is
+what a request costs, the slope what a token adds. Coalescing is measured at several
+values of `streams.coalesce_s`.
 
 Example::
 
@@ -52,7 +52,10 @@
 
 
 class RelayCost(NamedTuple):
-    """CPU of the node in seconds over one interval; `events` reached the callers."""
+    """CPU of the node in seconds over one interval, less that of an idle node.
+
+    `events` reached the callers.
+    """
 
     coalesce_s: float
     streams: int
@@ -118,8 +121,9 @@
         try:
             await asyncio.sleep(WARM_UP_S)
             await run_load(cluster, max(options.streams), 16, "warm", options.seconds)
+            idle = await idle_cores(cluster, options.seconds)
             return [
-                await interval(cluster, streams, tokens, options.seconds)
+                await interval(cluster, streams, tokens, options.seconds, idle)
                 for streams in options.streams
                 for tokens in options.tokens
             ]
@@ -127,11 +131,25 @@
             await cluster.stop()
 
 
-async def interval(cluster, streams: int, tokens: int, seconds: float) -> RelayCost:
-    pid = next(iter(cluster.processes.values())).process.pid
-    before_s = process_cpu_s(pid)
+def node_cpu_s(cluster: Cluster) -> float:
+    (node,) = cluster.processes.values()
+    return process_cpu_s(node.process.pid)
+
+
+async def idle_cores(cluster: Cluster, seconds: float) -> float:
+    before_s = node_cpu_s(cluster)
+    await asyncio.sleep(seconds)
+    return (node_cpu_s(cluster) - before_s) / seconds
+
+
+async def interval(
+    cluster, streams: int, tokens: int, seconds: float, idle: float
+) -> RelayCost:
+    before_s = node_cpu_s(cluster)
+    began_s = cluster.clock.monotonic_s()
     run = f"run-{streams}-{tokens}"
     load = await run_load(cluster, streams, tokens, run, seconds)
+    elapsed_s = cluster.clock.monotonic_s() - began_s
     return RelayCost(
         cluster.coalesce_s,
         streams,
@@ -140,7 +158,7 @@
         load.refused,
         load.tokens,
         load.events,
-        process_cpu_s(pid) - before_s,
+        node_cpu_s(cluster) - before_s - idle * elapsed_s,
     )
 
 
