Hand the ledger of an owner that leaves over to its successor

Cause: when an owner left, or a joining node became the owner, nobody lent the replica for the take-over wait of 5.5 s. Change: an owner that has stopped to be one offers its ledgers (loans, calls of earlier owners, warmth, share); the successor asks for them and lends at once if the answer is fresh by its own clock and neither side paused. What was inherited counts until the borrower confirms a grant made after its end.

--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -26,6 +26,9 @@
     LOAN_REQUEST = 10
     LOAN_REPLY = 11
     LOAN_RETURN = 12
+    HANDOVER_OFFER = 13
+    HANDOVER_REQUEST = 14
+    HANDOVER_REPLY = 15
     CONFIGURATION_OFFER = 20
     CONFIGURATION_FETCH = 21
     CONFIGURATION_DELTAS = 22
@@ -1645,6 +1648,727 @@
         return not (self == other)
 
 
+class HandoverOffer(object):
+    """
+    Attributes:
+     - replica_ids
+
+    """
+
+    __slots__ = (
+        'replica_ids',
+    )
+
+
+    def __init__(self, replica_ids=None,):
+        self.replica_ids = replica_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.replica_ids = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.replica_ids.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandoverOffer')
+        if self.replica_ids is not None:
+            oprot.writeFieldBegin('replica_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.replica_ids))
+            for iter55 in self.replica_ids:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.replica_ids is None:
+            raise TProtocolException(message='Required field replica_ids is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HandoverRequest(object):
+    """
+    Attributes:
+     - replica_ids
+
+    """
+
+    __slots__ = (
+        'replica_ids',
+    )
+
+
+    def __init__(self, replica_ids=None,):
+        self.replica_ids = replica_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.replica_ids = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.replica_ids.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandoverRequest')
+        if self.replica_ids is not None:
+            oprot.writeFieldBegin('replica_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.replica_ids))
+            for iter62 in self.replica_ids:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.replica_ids is None:
+            raise TProtocolException(message='Required field replica_ids is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HandedLoan(object):
+    """
+    Attributes:
+     - node_id
+     - incarnation
+     - slots
+     - expires_in_ms
+     - ends_in_ms
+     - running_calls
+     - running_for_ms
+     - sequence
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'incarnation',
+        'slots',
+        'expires_in_ms',
+        'ends_in_ms',
+        'running_calls',
+        'running_for_ms',
+        'sequence',
+    )
+
+
+    def __init__(self, node_id=None, incarnation=None, slots=None, expires_in_ms=None, ends_in_ms=None, running_calls=None, running_for_ms=None, sequence=None,):
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.slots = slots
+        self.expires_in_ms = expires_in_ms
+        self.ends_in_ms = ends_in_ms
+        self.running_calls = running_calls
+        self.running_for_ms = running_for_ms
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.expires_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.ends_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.running_calls = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.running_for_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandedLoan')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 3)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.expires_in_ms is not None:
+            oprot.writeFieldBegin('expires_in_ms', TType.I32, 4)
+            oprot.writeI32(self.expires_in_ms)
+            oprot.writeFieldEnd()
+        if self.ends_in_ms is not None:
+            oprot.writeFieldBegin('ends_in_ms', TType.I32, 5)
+            oprot.writeI32(self.ends_in_ms)
+            oprot.writeFieldEnd()
+        if self.running_calls is not None:
+            oprot.writeFieldBegin('running_calls', TType.I32, 6)
+            oprot.writeI32(self.running_calls)
+            oprot.writeFieldEnd()
+        if self.running_for_ms is not None:
+            oprot.writeFieldBegin('running_for_ms', TType.I32, 7)
+            oprot.writeI32(self.running_for_ms)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 8)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.slots is None:
+            raise TProtocolException(message='Required field slots is unset!')
+        if self.expires_in_ms is None:
+            raise TProtocolException(message='Required field expires_in_ms is unset!')
+        if self.ends_in_ms is None:
+            raise TProtocolException(message='Required field ends_in_ms is unset!')
+        if self.running_calls is None:
+            raise TProtocolException(message='Required field running_calls is unset!')
+        if self.running_for_ms is None:
+            raise TProtocolException(message='Required field running_for_ms is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HandedWarmth(object):
+    """
+    Attributes:
+     - state
+     - completed_calls
+     - has_cold_sign
+     - reported_cold
+     - cold_sign_age_ms
+     - changed_age_ms
+
+    """
+
+    __slots__ = (
+        'state',
+        'completed_calls',
+        'has_cold_sign',
+        'reported_cold',
+        'cold_sign_age_ms',
+        'changed_age_ms',
+    )
+
+
+    def __init__(self, state=None, completed_calls=None, has_cold_sign=None, reported_cold=None, cold_sign_age_ms=None, changed_age_ms=None,):
+        self.state = state
+        self.completed_calls = completed_calls
+        self.has_cold_sign = has_cold_sign
+        self.reported_cold = reported_cold
+        self.cold_sign_age_ms = cold_sign_age_ms
+        self.changed_age_ms = changed_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.completed_calls = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.has_cold_sign = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.reported_cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.cold_sign_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.changed_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandedWarmth')
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 1)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        if self.completed_calls is not None:
+            oprot.writeFieldBegin('completed_calls', TType.I32, 2)
+            oprot.writeI32(self.completed_calls)
+            oprot.writeFieldEnd()
+        if self.has_cold_sign is not None:
+            oprot.writeFieldBegin('has_cold_sign', TType.BOOL, 3)
+            oprot.writeBool(self.has_cold_sign)
+            oprot.writeFieldEnd()
+        if self.reported_cold is not None:
+            oprot.writeFieldBegin('reported_cold', TType.BOOL, 4)
+            oprot.writeBool(self.reported_cold)
+            oprot.writeFieldEnd()
+        if self.cold_sign_age_ms is not None:
+            oprot.writeFieldBegin('cold_sign_age_ms', TType.I64, 5)
+            oprot.writeI64(self.cold_sign_age_ms)
+            oprot.writeFieldEnd()
+        if self.changed_age_ms is not None:
+            oprot.writeFieldBegin('changed_age_ms', TType.I64, 6)
+            oprot.writeI64(self.changed_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.state is None:
+            raise TProtocolException(message='Required field state is unset!')
+        if self.completed_calls is None:
+            raise TProtocolException(message='Required field completed_calls is unset!')
+        if self.has_cold_sign is None:
+            raise TProtocolException(message='Required field has_cold_sign is unset!')
+        if self.reported_cold is None:
+            raise TProtocolException(message='Required field reported_cold is unset!')
+        if self.cold_sign_age_ms is None:
+            raise TProtocolException(message='Required field cold_sign_age_ms is unset!')
+        if self.changed_age_ms is None:
+            raise TProtocolException(message='Required field changed_age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HandedLedger(object):
+    """
+    Attributes:
+     - replica_id
+     - loans
+     - warmth
+     - foreign_calls
+     - foreign_for_ms
+     - heard
+     - listed
+     - rounds_up
+
+    """
+
+    __slots__ = (
+        'replica_id',
+        'loans',
+        'warmth',
+        'foreign_calls',
+        'foreign_for_ms',
+        'heard',
+        'listed',
+        'rounds_up',
+    )
+
+
+    def __init__(self, replica_id=None, loans=None, warmth=None, foreign_calls=None, foreign_for_ms=None, heard=None, listed=None, rounds_up=None,):
+        self.replica_id = replica_id
+        self.loans = loans
+        self.warmth = warmth
+        self.foreign_calls = foreign_calls
+        self.foreign_for_ms = foreign_for_ms
+        self.heard = heard
+        self.listed = listed
+        self.rounds_up = rounds_up
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.loans = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = HandedLoan()
+                        _elem68.read(iprot)
+                        self.loans.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.warmth = HandedWarmth()
+                    self.warmth.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.foreign_calls = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.foreign_for_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.heard = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.listed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.rounds_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandedLedger')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        if self.loans is not None:
+            oprot.writeFieldBegin('loans', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.loans))
+            for iter69 in self.loans:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.warmth is not None:
+            oprot.writeFieldBegin('warmth', TType.STRUCT, 3)
+            self.warmth.write(oprot)
+            oprot.writeFieldEnd()
+        if self.foreign_calls is not None:
+            oprot.writeFieldBegin('foreign_calls', TType.I32, 4)
+            oprot.writeI32(self.foreign_calls)
+            oprot.writeFieldEnd()
+        if self.foreign_for_ms is not None:
+            oprot.writeFieldBegin('foreign_for_ms', TType.I32, 5)
+            oprot.writeI32(self.foreign_for_ms)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.I32, 6)
+            oprot.writeI32(self.heard)
+            oprot.writeFieldEnd()
+        if self.listed is not None:
+            oprot.writeFieldBegin('listed', TType.I32, 7)
+            oprot.writeI32(self.listed)
+            oprot.writeFieldEnd()
+        if self.rounds_up is not None:
+            oprot.writeFieldBegin('rounds_up', TType.BOOL, 8)
+            oprot.writeBool(self.rounds_up)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.replica_id is None:
+            raise TProtocolException(message='Required field replica_id is unset!')
+        if self.loans is None:
+            raise TProtocolException(message='Required field loans is unset!')
+        if self.warmth is None:
+            raise TProtocolException(message='Required field warmth is unset!')
+        if self.foreign_calls is None:
+            raise TProtocolException(message='Required field foreign_calls is unset!')
+        if self.foreign_for_ms is None:
+            raise TProtocolException(message='Required field foreign_for_ms is unset!')
+        if self.heard is None:
+            raise TProtocolException(message='Required field heard is unset!')
+        if self.listed is None:
+            raise TProtocolException(message='Required field listed is unset!')
+        if self.rounds_up is None:
+            raise TProtocolException(message='Required field rounds_up is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HandoverReply(object):
+    """
+    Attributes:
+     - ledgers
+
+    """
+
+    __slots__ = (
+        'ledgers',
+    )
+
+
+    def __init__(self, ledgers=None,):
+        self.ledgers = ledgers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.ledgers = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = HandedLedger()
+                        _elem75.read(iprot)
+                        self.ledgers.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandoverReply')
+        if self.ledgers is not None:
+            oprot.writeFieldBegin('ledgers', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.ledgers))
+            for iter76 in self.ledgers:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ledgers is None:
+            raise TProtocolException(message='Required field ledgers is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigurationOffer(object):
     """
     Attributes:
@@ -1902,11 +2626,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.deltas = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = ConfigurationDelta()
-                        _elem54.read(iprot)
-                        self.deltas.append(_elem54)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ConfigurationDelta()
+                        _elem82.read(iprot)
+                        self.deltas.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1933,8 +2657,8 @@
         if self.deltas is not None:
             oprot.writeFieldBegin('deltas', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.deltas))
-            for iter55 in self.deltas:
-                iter55.write(oprot)
+            for iter83 in self.deltas:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.snapshot is not None:
@@ -2198,11 +2922,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = StreamEvent()
-                        _elem61.read(iprot)
-                        self.events.append(_elem61)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = StreamEvent()
+                        _elem89.read(iprot)
+                        self.events.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2224,8 +2948,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter62 in self.events:
-                iter62.write(oprot)
+            for iter90 in self.events:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finished is not None:
@@ -2642,11 +3366,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ClaimItem()
-                        _elem68.read(iprot)
-                        self.items.append(_elem68)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = ClaimItem()
+                        _elem96.read(iprot)
+                        self.items.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2667,8 +3391,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter69 in self.items:
-                iter69.write(oprot)
+            for iter97 in self.items:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2727,10 +3451,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.results.append(_elem75)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.results.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2747,8 +3471,8 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.results))
-            for iter76 in self.results:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter104 in self.results:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2886,6 +3610,55 @@
     (2, TType.LIST, 'demands', (TType.STRUCT, [LoanDemand, None], False), None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
 )
+all_structs.append(HandoverOffer)
+HandoverOffer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'replica_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(HandoverRequest)
+HandoverRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'replica_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(HandedLoan)
+HandedLoan.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'slots', None, None, ),  # 3
+    (4, TType.I32, 'expires_in_ms', None, None, ),  # 4
+    (5, TType.I32, 'ends_in_ms', None, None, ),  # 5
+    (6, TType.I32, 'running_calls', None, None, ),  # 6
+    (7, TType.I32, 'running_for_ms', None, None, ),  # 7
+    (8, TType.I64, 'sequence', None, None, ),  # 8
+)
+all_structs.append(HandedWarmth)
+HandedWarmth.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'completed_calls', None, None, ),  # 2
+    (3, TType.BOOL, 'has_cold_sign', None, None, ),  # 3
+    (4, TType.BOOL, 'reported_cold', None, None, ),  # 4
+    (5, TType.I64, 'cold_sign_age_ms', None, None, ),  # 5
+    (6, TType.I64, 'changed_age_ms', None, None, ),  # 6
+)
+all_structs.append(HandedLedger)
+HandedLedger.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'loans', (TType.STRUCT, [HandedLoan, None], False), None, ),  # 2
+    (3, TType.STRUCT, 'warmth', [HandedWarmth, None], None, ),  # 3
+    (4, TType.I32, 'foreign_calls', None, None, ),  # 4
+    (5, TType.I32, 'foreign_for_ms', None, None, ),  # 5
+    (6, TType.I32, 'heard', None, None, ),  # 6
+    (7, TType.I32, 'listed', None, None, ),  # 7
+    (8, TType.BOOL, 'rounds_up', None, None, ),  # 8
+)
+all_structs.append(HandoverReply)
+HandoverReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'ledgers', (TType.STRUCT, [HandedLedger, None], False), None, ),  # 1
+)
 all_structs.append(ConfigurationOffer)
 ConfigurationOffer.thrift_spec = (
     None,  # 0
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -4,6 +4,7 @@
 enum MessageType {
   HELLO = 1, PROBE = 2, PROBE_ACK = 3, PROBE_REQUEST = 4, MEMBER_SYNC = 5,
   LOAN_REQUEST = 10, LOAN_REPLY = 11, LOAN_RETURN = 12,
+  HANDOVER_OFFER = 13, HANDOVER_REQUEST = 14, HANDOVER_REPLY = 15,
   CONFIGURATION_OFFER = 20, CONFIGURATION_FETCH = 21, CONFIGURATION_DELTAS = 22,
   STREAM_FETCH = 30, STREAM_EVENTS = 31, OUTCOME_QUERY = 32, OUTCOME_REPLY = 33,
   CANCEL_REQUEST = 34,
@@ -113,6 +114,44 @@
   3: optional i64 sequence,
 }
 
+// An owner that is no longer one tells its successors that they may ask for its ledgers.
+struct HandoverOffer { 1: required list<string> replica_ids }
+struct HandoverRequest { 1: required list<string> replica_ids }
+
+// What one borrower may still use or run; times count from the reply.
+struct HandedLoan {
+  1: required string node_id,
+  2: required i64 incarnation,
+  3: required i32 slots,
+  4: required i32 expires_in_ms,
+  5: required i32 ends_in_ms,
+  6: required i32 running_calls,
+  7: required i32 running_for_ms,
+  8: required i64 sequence,
+}
+
+struct HandedWarmth {
+  1: required string state,
+  2: required i32 completed_calls,
+  3: required bool has_cold_sign,
+  4: required bool reported_cold,
+  5: required i64 cold_sign_age_ms,
+  6: required i64 changed_age_ms,
+}
+
+struct HandedLedger {
+  1: required string replica_id,
+  2: required list<HandedLoan> loans,
+  3: required HandedWarmth warmth,
+  4: required i32 foreign_calls,
+  5: required i32 foreign_for_ms,
+  6: required i32 heard,           // the share by which the earlier owner lent
+  7: required i32 listed,
+  8: required bool rounds_up,
+}
+
+struct HandoverReply { 1: required list<HandedLedger> ledgers }
+
 struct ConfigurationOffer { 1: required i64 version }
 struct ConfigurationFetch { 1: required i64 after_version }
 
--- a/egretshed/slots/ledger.py
+++ b/egretshed/slots/ledger.py
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self.grants: list[Grant] = []
+        self.inherited: Grant | None = None
         self.running = 0
         self.running_until_s = -math.inf
         self.wanted = 0
@@ -40,7 +41,16 @@
         """Return the most calls that the borrower may have on the server."""
         self.grants = [grant for grant in self.grants if grant.ends_s > now_s]
         running = self.running if self.running_until_s > now_s else 0
-        return max([running, *(grant.slots for grant in self.grants)])
+        if self.inherited is not None and self.inherited.ends_s <= now_s:
+            self.inherited = None
+        inherited = self.inherited.slots if self.inherited else 0
+        return max([running, inherited, *(grant.slots for grant in self.grants)])
+
+    def latest_end_s(self) -> tuple[float, float]:
+        """Return when the last grant expires and when its calls have ended."""
+        grants = [*self.grants, *([self.inherited] if self.inherited else [])]
+        expires_s = max((grant.expires_s for grant in grants), default=-math.inf)
+        return expires_s, max((grant.ends_s for grant in grants), default=-math.inf)
 
     def slots(self) -> int:
         return self.grants[-1].slots if self.grants else 0
@@ -76,15 +86,44 @@
         if demand.held_slots == 0:
             loan.grants = [grant for grant in loan.grants if grant.loan_id > used]
             return
-        known = used and any(grant.loan_id == used for grant in loan.grants)
+        known = next((g for g in loan.grants if used and g.loan_id == used), None)
+        if known is not None:
+            self._forget_inherited(loan, known)
         loan.grants = [
             _returned(grant, demand.held_slots) if grant.loan_id == used else grant
             for grant in loan.grants
             if grant.loan_id >= used
         ]
-        if not known:
+        if known is None:
             self._count_earlier_owner(loan, demand, now_s)
 
+    def _forget_inherited(self, loan: Loan, used: Grant) -> None:
+        """Drop what the earlier owner lent once the borrower cannot use it any more.
+
+        A grant of the earlier owner may still reach the borrower after a report. Only a
+        report that names a grant made after the loan's end shows that it is over.
+        """
+        duration_s = self.env.settings.slots.loan_duration_s
+        granted_s = used.expires_s - duration_s
+        if loan.inherited is not None and loan.inherited.expires_s <= granted_s:
+            loan.inherited = None
+
+    def inherit(
+        self,
+        borrower: BorrowerId,
+        grant: Grant,
+        running: int,
+        running_until_s,
+        sequence,
+    ) -> None:
+        """Count what an earlier owner has lent to the borrower."""
+        loan = self.loans.setdefault(borrower, Loan())
+        loan.inherited = grant
+        if loan.sequence < sequence:
+            loan.sequence = sequence
+            loan.running = running
+            loan.running_until_s = running_until_s
+
     def _count_earlier_owner(self, loan: Loan, demand: LoanDemand, now_s: float):
         """Count slots lent by another owner, which end within a loan duration."""
         expires_s = now_s + self.env.settings.slots.loan_duration_s
--- a/egretshed/slots/lending.py
+++ b/egretshed/slots/lending.py
@@ -22,8 +22,10 @@
     PeerNetwork,
     Sender,
 )
+from egretshed.slots.handover import Handover
 from egretshed.slots.ledger import Grant
 from egretshed.slots.owned import (
+    LostOwnership,
     OwnedState,
     longest_call_s,
 )
@@ -61,6 +63,7 @@
         self._ticked_s = env.clock.monotonic_s()
         self._known_for = None
         self._known: dict[str, tuple[str, Pool, Replica]] = {}
+        self.handover = Handover(env, peers, self)
         peers.handle(LoanRequest, self._on_request)
         peers.handle(LoanReturn, self._on_return)
 
@@ -113,10 +116,11 @@
             if owned:
                 self._revoke(state, pool)
                 self._poll_if_due(state, replica_id)
-            elif not state.ledger.loans:
+            elif not state.ledger.loans and not self.handover.is_open(state):
                 del self._states[replica_id]
         for replica_id in self._states.keys() - replicas.keys():
             del self._states[replica_id]
+        self.handover.offer_all(self._states)
 
     def owner_of(self, replica_id: str) -> str | None:
         """Return the node that owns a declared replica, as this node sees it."""
@@ -221,12 +225,51 @@
         share = None
         if self.membership.is_settled() and self._is_owner(replica):
             share = self.membership.lending_share(self._region(replica))
+        self._note_lost(state, replica, share)
         state.window.record(now_s, share)
         state.may_get_work = self.configuration.current.is_in_service(
             replica
         ) and not self.membership.is_backend_leaving(replica.replica_id)
         return state
 
+    def _note_lost(self, state: OwnedState, replica: Replica, share) -> None:
+        """Record the moment when another node has become the owner."""
+        was = state.window.share
+        if share is not None:
+            state.lost = None
+        elif was is not None and self.membership.is_settled():
+            state.lost = self._lost_steadily(state, replica, was)
+
+    def _lost_steadily(self, state: OwnedState, replica: Replica, share):
+        """Return the loss if this node could lend its whole share, else None."""
+        now_s = self.env.clock.monotonic_s()
+        longest_s = longest_call_s(self.configuration.current)
+        _, pool, _ = self._replicas()[replica.replica_id]
+        limits = (pool.cold_slots, pool.warm_slots)
+        if all(state.window.is_steady(limit, now_s, longest_s) for limit in limits):
+            foreign_until_s = now_s + state.foreign_left_s(now_s, longest_s)
+            foreign = state.foreign(pool, now_s, longest_s)
+            return LostOwnership(now_s, share, foreign, foreign_until_s)
+        return None
+
+    def state_if_owner(self, replica_id: str) -> OwnedState | None:
+        """Return the state as of now if this node may lend the replica's slots."""
+        self._check_pause()
+        known = self._replicas().get(replica_id)
+        if known is None or not self.membership.is_settled():
+            return None
+        return self._observe(known[2]) if self._is_owner(known[2]) else None
+
+    def state_if_lost(self, replica_id: str) -> OwnedState | None:
+        """Return the state as of now if this node was the owner until lately."""
+        self._check_pause()
+        known = self._replicas().get(replica_id)
+        if known is None or replica_id not in self._states:
+            return None
+        if not self.membership.is_settled() or self._is_owner(known[2]):
+            return None
+        return self._observe(known[2])
+
     def _check_pause(self) -> None:
         """Stop lending after a pause: another node may have taken over meanwhile."""
         now_s = self.env.clock.monotonic_s()
@@ -234,6 +277,7 @@
         if now_s - self._ticked_s > limit_s:
             for state in self._states.values():
                 state.window.interrupt(now_s)
+                state.lost = None
         self._ticked_s = now_s
 
     def _is_owner(self, replica: Replica) -> bool:
--- a/egretshed/slots/owned.py
+++ b/egretshed/slots/owned.py
@@ -1,5 +1,8 @@
 """All that an owner keeps of one replica."""
 
+import math
+from typing import NamedTuple
+
 from egretshed.backends.interface import LoadReport
 from egretshed.configuration.schema import (
     Configuration,
@@ -8,8 +11,14 @@
 )
 from egretshed.environment import Environment
 from egretshed.slots.ledger import ReplicaLedger
-from egretshed.slots.records import OwnedReplica
-from egretshed.slots.share import ShareWindow
+from egretshed.slots.records import (
+    BorrowerId,
+    OwnedReplica,
+)
+from egretshed.slots.share import (
+    Share,
+    ShareWindow,
+)
 from egretshed.slots.warmth import Warmth
 
 DEFAULT_LONGEST_CALL_S = 60.0
@@ -21,6 +30,20 @@
     return max(deadlines, default=DEFAULT_LONGEST_CALL_S)
 
 
+class LostOwnership(NamedTuple):
+    """How this node lent a replica until another one became its owner.
+
+    `foreign` calls of earlier owners may run until `foreign_until_s`; `taker` is the
+    process that has the ledger.
+    """
+
+    at_s: float
+    share: Share
+    foreign: int
+    foreign_until_s: float
+    taker: BorrowerId | None = None
+
+
 class OwnedState:
     """Ledger, warmth, share and load of one replica.
 
@@ -37,8 +60,10 @@
         self.report_seen_s = now_s
         self.polled_s = -float("inf")
         self.may_get_work = False
+        self.lost: LostOwnership | None = None
         self._foreign: int | None = None
         self._foreign_for_s = 0.0
+        self._foreign_until_s = math.inf
 
     def note_report(self, report: LoadReport, now_s: float) -> None:
         self.report = report
@@ -47,11 +72,28 @@
         if self._foreign_for_s != self.window.resumes_s:
             self._foreign = None
             self._foreign_for_s = self.window.resumes_s
+            self._foreign_until_s = math.inf
         if self.report_seen_s > self.window.resumes_s:
             present = report.in_flight + report.queued
             known = present if self._foreign is None else self._foreign
             self._foreign = min(present, known)
 
+    def continue_from(
+        self, foreign: int, foreign_for_s: float, share: Share, now_s: float
+    ) -> None:
+        """Lend from now on in place of an earlier owner that has stopped."""
+        self.window.continue_from(share, now_s)
+        self._foreign = foreign
+        self._foreign_for_s = self.window.resumes_s
+        self._foreign_until_s = now_s + foreign_for_s
+
+    def foreign_left_s(self, now_s: float, longest_s: float) -> float:
+        """Return for how long calls of earlier owners may still run."""
+        ends_s = self.window.resumes_s + longest_s
+        if self._foreign_for_s == self.window.resumes_s:
+            ends_s = min(ends_s, self._foreign_until_s)
+        return max(0.0, ends_s - now_s)
+
     def amount(self, pool: Pool, now_s: float, longest_s: float) -> int:
         """Return the slots that may be lent now, foreign calls included."""
         if not self.may_get_work or (self.report and self.report.leaving):
@@ -75,7 +117,7 @@
 
     def foreign(self, pool: Pool, now_s: float, longest_s: float) -> int:
         """Return the calls, in slots, that earlier owners may have left running."""
-        if now_s >= self.window.resumes_s + longest_s:
+        if not self.foreign_left_s(now_s, longest_s):
             return 0
         current = self._foreign_for_s == self.window.resumes_s
         if not current or self._foreign is None:
--- a/egretshed/slots/service.py
+++ b/egretshed/slots/service.py
@@ -40,6 +40,10 @@
         """Return what is borrowed and borrow no more; call it once no call starts."""
         await self._renewer.hand_back()
 
+    def owner_of(self, replica_id: str) -> str | None:
+        """Return the node that owns a declared replica, as this node sees it."""
+        return self._lender.owner_of(replica_id)
+
     def owned(self) -> list[OwnedReplica]:
         """Return the replicas that this node owns, for status pages."""
         return self._lender.owned()
--- a/egretshed/slots/share.py
+++ b/egretshed/slots/share.py
@@ -59,6 +59,20 @@
         self.record(now_s, None)
         self.resumes_s = now_s + self.wait_s
 
+    @property
+    def share(self) -> Share | None:
+        return self._periods[-1].share
+
+    def is_steady(self, limit: int, now_s: float, longest_call_s: float) -> bool:
+        """Return whether the whole present share of `limit` may be lent now."""
+        whole = scaled(limit, self.share)
+        return whole > 0 and self.lendable(limit, now_s, longest_call_s) == whole
+
+    def continue_from(self, share: Share, now_s: float) -> None:
+        """Lend at once, as far as the earlier owner's `share` allows as well."""
+        self.resumes_s = now_s
+        self._periods = deque([_Period(now_s, share), _Period(now_s, self.share)])
+
     def lends_after_s(self, limit: int, now_s: float, longest_call_s: float) -> float:
         """Return for how long nothing can be lent at the least.
 
--- a/egretshed/slots/tests/fuzz_slots.py
+++ b/egretshed/slots/tests/fuzz_slots.py
@@ -32,6 +32,8 @@
 # Report lag, poll period and tick until all owners know; the loan duration until all
 # borrowers do; then lag, poll and tick again until each owner sees calls of the others.
 COLD_KNOWN_S = 2 * (0.2 + 0.5 + 0.25) + 2.0 + 0.1
+# After this long without a change an owner may lend its whole share.
+CALM_S = LONGEST_S + DETECTION_S + 2.0 + 0.5
 DURATIONS_S = (0.3, 2.0, LONGEST_S - 0.1)
 nodes = st.sampled_from(IDS)
 
@@ -206,6 +208,43 @@
     async def restart(self, node):
         node.restart()
 
+    @precondition(is_settled)
+    @rule(
+        calm_s=st.sampled_from([0.0, CALM_S, CALM_S]),
+        delays=delays,
+        run_s=st.floats(0.3, DETECTION_S),
+    )
+    def owner_leaves(self, calm_s, delays, run_s):
+        """It is no owner any more in each view from some time on, first in its own.
+
+        Only an owner that could lend its whole share hands its ledger over, so most
+        leave after a calm time.
+        """
+        self.run(calm_s)
+        name = self.nodes["n0"].service.owner_of("p-0")
+        self.set_departing(name, delays, leaving=True)
+        self.run(run_s)
+
+    @precondition(is_settled)
+    @rule(delays=delays, settled_s=st.floats(0.1, DETECTION_S))
+    def leaving_node_joins(self, delays, settled_s):
+        """It starts again and is an owner again, first in its own view."""
+        departing = sorted(
+            set.union(*(n.membership.departing for n in self.nodes.values()))
+        )
+        for name in departing:
+            self.node_restarts(name, settled_s)
+            self.set_departing(name, delays)
+        self.run(1.0)
+
+    def set_departing(self, name, delays, leaving=False):
+        self.groups_settled_s = self.clock.monotonic_s() + DETECTION_S + 0.01
+        for delay_s, node in zip(delays, self.nodes.values()):
+            known = node.membership.departing
+            change = known.add if leaving else known.discard
+            own = node.node_id == name
+            self.later(0.0 if own else delay_s, lambda change=change: change(name))
+
     @rule(source=nodes, receiver=nodes, for_s=st.floats(0.1, 3.0))
     def messages_are_lost(self, source, receiver, for_s):
         pair = (source, receiver)
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -204,3 +204,29 @@
     When 5.5 s pass
     And the survivors ask for a slot and 1 s pass
     Then they are told that nothing is lent for 0 s
+
+  Scenario Outline: An owner that leaves hands its ledger over, which guards against <failure>
+    Given 3 nodes that share a warm server
+    And 8 s pass
+    And another node than the owner runs <calls> calls of 4 s
+    When the owner leaves and <case>
+    And <seconds> s pass
+    Then the new owner counts <committed> slots as committed and lends <lent>
+
+    Examples:
+      | failure                                   | calls | case                         | seconds | committed | lent |
+      | no new work for the take-over wait        | 0     | the others know at once      | 1       | 0         | 6    |
+      | slots of the earlier owner lent again     | 4     | the others know at once      | 1       | 4         | 6    |
+      | a ledger that is too old                  | 0     | the others know after 1.5 s  | 3       | 0         | 0    |
+      | a lost answer taken for an empty ledger   | 4     | its answers are lost         | 3       | 4         | 0    |
+      | a late answer, when others may have lent  | 0     | its answers come after 0.7 s | 3       | 0         | 0    |
+      | an answer used after a pause              | 0     | the new owner pauses         | 3       | 0         | 0    |
+      | an owner that was paused handing over     | 0     | it has paused just before    | 3       | 0         | 0    |
+
+  Scenario: A ledger that was handed over is not handed to another process
+    Guards against two owners with the same ledger.
+    Given 3 nodes that share a warm server
+    And 8 s pass
+    When the owner leaves and the others know at once
+    And 0.6 s pass
+    Then the earlier owner gives its ledger to no other process
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -11,6 +11,7 @@
     LoanDemand,
     LoanGrant,
 )
+from egretshed.peers.network import Sender
 from egretshed.slots.borrowed import BorrowedState
 from egretshed.slots.division import divide
 from egretshed.slots.ledger import ReplicaLedger
@@ -466,3 +467,60 @@
     for node in survivors(context):
         view = node.service.borrower.view("p-0")
         assert abs(view.lends_after_s - seconds) < 0.8, view
+
+
+@given("{seconds:g} s pass")
+def calm(context, seconds):
+    run(context, context.clock.advance(seconds))
+
+
+@given("another node than the owner runs {count:d} calls of {duration_s:g} s")
+def calls_run(context, count, duration_s):
+    other_runs(context, count, duration_s)
+
+
+@when("the owner leaves and {case}")
+def owner_leaves(context, case):
+    run(context, leave(context, case))
+
+
+async def leave(context, case):
+    name = context.owner.node_id
+    others = [node for node in context.nodes if node is not context.owner]
+    context.owner.membership.departing.add(name)
+    replica = context.configuration.pools["p"].replicas[0]
+    successor = context.owner.membership.owner_of(replica, "r")
+    context.successor = next(n for n in others if n.node_id == successor)
+    if case == "its answers are lost":
+        # The offer arrives; the answer to the request goes the same way, so the
+        # request is what has to be cut.
+        context.network.cut.add((successor, name))
+    elif case.startswith("its answers come after"):
+        context.network.delay_s[successor, name] = 0.7
+    elif case == "it has paused just before":
+        context.owner.service._lender._ticked_s -= 2.0
+    elif case == "the others know after 1.5 s":
+        await context.clock.advance(1.5)
+    for node in others:
+        node.membership.departing.add(name)
+    if case == "the new owner pauses":
+        context.successor.pause()
+        await context.clock.advance(1.5)
+        context.successor.resume()
+
+
+@then("the new owner counts {committed:d} slots as committed and lends {lent:d}")
+def successor_has(context, committed, lent):
+    (owned,) = context.successor.service.owned()
+    got = (owned.committed, max(0, owned.lendable - owned.foreign))
+    assert got == (committed, lent), owned
+
+
+@then("the earlier owner gives its ledger to no other process")
+def no_second_taker(context):
+    handover = context.owner.service._lender.handover
+    taker = context.successor.env.identity
+    first = Sender(taker.node_id, taker.incarnation)
+    restarted = Sender(taker.node_id, taker.incarnation + 1)
+    assert handover._hand(first, "p-0") is not None
+    assert handover._hand(restarted, "p-0") is None
--- a/egretshed/slots/warmth.py
+++ b/egretshed/slots/warmth.py
@@ -4,6 +4,7 @@
 
 from egretshed.backends.interface import LoadReport
 from egretshed.configuration.schema import Pool
+from egretshed.gen.messages.ttypes import HandedWarmth
 from egretshed.slots.records import BorrowerId
 
 
@@ -85,6 +86,28 @@
             ramps = self._has_cold_sign
             self._move(WarmthState.WARMING if ramps else WarmthState.WARM, now_s)
 
+    def handed(self, now_s: float) -> HandedWarmth:
+        return HandedWarmth(
+            self.state.value,
+            self.completed,
+            self._has_cold_sign,
+            self._reported_cold,
+            int((now_s - self._cold_sign_s) * 1000),
+            int((now_s - self._changed_s) * 1000),
+        )
+
+    def continue_from(self, handed: HandedWarmth, now_s: float) -> None:
+        """Go on from an earlier owner's state, unless this owner saw a cold sign."""
+        if self._has_cold_sign or self._reported_cold:
+            return
+        self.state = WarmthState(handed.state)
+        self.completed = handed.completed_calls
+        self._has_cold_sign = handed.has_cold_sign
+        self._reported_cold = handed.reported_cold
+        self._cold_sign_s = now_s - handed.cold_sign_age_ms / 1000
+        self._changed_s = now_s - handed.changed_age_ms / 1000
+        self._counts.clear()
+
     def _move(self, state: WarmthState, now_s: float) -> None:
         if state is WarmthState.WARM:
             self._has_cold_sign = False
--- a/standins/fake_membership.py
+++ b/standins/fake_membership.py
@@ -25,13 +25,15 @@
         self.heard_ids = set(listed)
         self.settled = True
         self.leaving: set[str] = set()
+        self.departing: set[str] = set()  # Nodes that leave: heard, but own nothing.
         self._owners: dict[tuple[str, frozenset[str]], str] = {}
 
     def is_settled(self) -> bool:
         return self.settled
 
     def owner_of(self, replica: Replica, region: str) -> str | None:
-        key = (replica.replica_id, frozenset(self.heard_ids))
+        owners = frozenset(self.heard_ids - self.departing)
+        key = (replica.replica_id, owners or frozenset(self.heard_ids))
         if key not in self._owners:
             self._owners[key] = max(
                 key[1],
