--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -40,6 +40,10 @@
 from egretshed.invariants import require
 from egretshed.logs import log_event
 from egretshed.requests.abandon import AbandonedCalls
+from egretshed.requests.early import (
+    EarlyChoice,
+    SlotWaits,
+)
 from egretshed.requests.outcomes import (
     complete_outcome,
     outcome_of,
@@ -115,6 +119,7 @@
         self.store = StreamStore(env)
         self.abandoned = AbandonedCalls(env.clock, services.router, services.backends)
         self._paces = UsualPaces()
+        self._slot_waits = SlotWaits()
         self._runs: dict[str, _Run] = {}
         self._attempt_numbers = itertools.count(1)
         self._refusal = ""
@@ -293,13 +298,48 @@
             submission.kind,
             submission.body,
         )
+        early = self._start_early(run, state)
+        try:
+            return await self._run_each_stage(run, state, early)
+        finally:
+            if early is not None:
+                early.give_up()
+
+    def _start_early(self, run: _Run, state: PipelineState) -> EarlyChoice | None:
+        """Begin to wait for the slot of a generation at the end of a pipeline."""
+        *before, last = run.submission.stages
+        role = self.services.configuration.current.pools[last.pool].role
+        if not before or role != "engine":
+            return None
+        times = self.services.stage_times
+        before_s = sum(times.estimate_s(stage.pool) for stage in before)
+        after_s = self._slot_waits.start_after_s(last.pool, before_s)
+        if after_s is None:
+            return None
+
+        async def choose() -> RoutingDecision:
+            away = Retry(frozenset(), frozenset())
+            left_s = run.end_s - self.env.clock.monotonic_s()
+            return await self._choose(run, last, state, left_s, away)
+
+        def give_back(decision: RoutingDecision) -> None:
+            self.services.router.observe(decision, None, None)
+
+        return EarlyChoice(self.env.clock, choose, after_s, give_back)
+
+    async def _run_each_stage(
+        self, run: _Run, state: PipelineState, early: EarlyChoice | None
+    ) -> dict[str, Any]:
+        submission = run.submission
         for index, stage in enumerate(submission.stages):
+            is_last = index == len(submission.stages) - 1
             role = self.services.configuration.current.pools[stage.pool].role
             form = stage_form(role)
             rest = [later.pool for later in submission.stages[index:]]
             remaining_s = run.end_s - self.env.clock.monotonic_s()
             shares_s = divide_deadline(self.services.stage_times, rest, remaining_s)
-            result = await self._run_stage(run, stage, state, form, shares_s[0])
+            chosen = early if is_last else None
+            result = await self._run_stage(run, stage, state, form, shares_s[0], chosen)
             state = form.merge(state, result.output)
             run.usage[stage.name] = _usage(result)
         output = state.result if state.result is not None else {}
@@ -308,17 +348,26 @@
         return complete_outcome(run.stream, output, run.usage)
 
     async def _run_stage(
-        self, run: _Run, stage: Stage, state: PipelineState, form: type, share_s: float
+        self,
+        run: _Run,
+        stage: Stage,
+        state: PipelineState,
+        form: type,
+        share_s: float,
+        early: EarlyChoice | None = None,
     ) -> BackendResult:
         """Try the stage until it completes or no further attempt is allowed.
 
-        `share_s` is the part of the deadline that this stage should take.
+        `share_s` is the part of the deadline that this stage should take. The first
+        attempt uses the `early` choice if it was made.
         """
         self.services.budgets.note_call(run.submission.customer_id, stage.name)
         away = Retry(frozenset(), frozenset())
         may_have_run_before = False
         for attempt in itertools.count(1):
-            decision = await self._choose(run, stage, state, share_s, away)
+            decision = await early.decision() if early and attempt == 1 else None
+            if decision is None:
+                decision = await self._choose(run, stage, state, share_s, away)
             sent_before = run.stream.sent_to_backend
             try:
                 return await self._attempt(run, stage, state, form, decision)
@@ -387,8 +436,12 @@
         # A slot that comes later would be used in vain.
         fastest_s = self.services.stage_times.estimate_s(stage.pool, FASTEST_SHARE)
         wait_s = max(0.0, remaining_s - fastest_s)
+        asked_s = self.env.clock.monotonic_s()
         try:
-            return await self.services.router.choose_within(call, wait_s)
+            decision = await self.services.router.choose_within(call, wait_s)
+            waited_s = self.env.clock.monotonic_s() - asked_s
+            self._slot_waits.observe(stage.pool, waited_s)
+            return decision
         except NoReplicaAvailable as error:
             kind = RequestFailed if run.stream.sent_to_backend else NotRun
             after_s = error.fields.get("lends_after_s", 0.0)
