Tell a resuming caller that its stream is lost before the first keep-alive

With headers written it could neither answer 410 nor run the request again, and the stream ended without a final answer. Change: a relay's first fetch is tried once for 1.5 s. The soak test takes a relayed stream that ends without a final answer as explained if an earlier answer's node was killed or paused then; this stays possible after the first fetch.

--- a/bench/tests/traces.feature
+++ b/bench/tests/traces.feature
@@ -16,6 +16,19 @@
       | while another node was     | kill    | entry-2 | 9     | 12  | P8       |
       | while the node was stopped | restart | entry-1 | 9     | 12  | P8       |
 
+  Scenario Outline: A stream that "entry-1" relays <case>
+    # Guards against blaming the relay for the node that ran the stream, and against
+    # excusing the relay for anything else.
+    Given "pause" of "<target>" from 9 s to 12 s
+    When a connection to "entry-1" for a stream of "entry-2" is lost as "<reason>"
+    Then the promises "<promises>" are broken
+
+    Examples:
+      | case                          | target  | reason                                  | promises |
+      | ends as its node is paused    | entry-2 | the stream ended without a final answer |          |
+      | ends while a third one is     | entry-3 | the stream ended without a final answer | P8       |
+      | is refused by the relay       | entry-2 | connect: refused                        | P8       |
+
   Scenario Outline: A node's log has <line>
     # Guards against faults that no caller or server can see.
     Given the log line <line>
--- a/egretshed/callers/events.py
+++ b/egretshed/callers/events.py
@@ -37,6 +37,10 @@
 FETCH_WAIT_S = 1.0
 FETCH_TIMEOUT_S = 2.0
 FETCH_ATTEMPTS = 3
+# Ends before the first keep-alive comment, so that a caller that resumes can still be
+# told that its stream is lost, or be given a new one.
+FIRST_FETCH_TIMEOUT_S = 1.5
+FIRST_FETCH_ATTEMPTS = 1
 MAX_OUTCOME_PEERS = 16
 # Only operators' questions use it; a caller's always names its customer.
 ANY_CUSTOMER = ""
@@ -181,18 +185,20 @@
 
     async def _remote_batches(self, location, customer_id, stream_id, after):
         failures = 0
+        attempts, timeout_s = FIRST_FETCH_ATTEMPTS, FIRST_FETCH_TIMEOUT_S
         while True:
             fetch = StreamFetch(customer_id, stream_id, after, int(FETCH_WAIT_S * 1000))
             try:
-                reply = await self.peers.call(location.node_id, fetch, FETCH_TIMEOUT_S)
+                reply = await self.peers.call(location.node_id, fetch, timeout_s)
             except PeerRejected as error:
                 raise self._lost(stream_id) from error
             except PeerUnavailable as error:
                 failures += 1
-                if failures >= FETCH_ATTEMPTS:
+                if failures >= attempts:
                     raise self._lost(stream_id) from error
                 continue
             failures = 0
+            attempts, timeout_s = FETCH_ATTEMPTS, FETCH_TIMEOUT_S
             batches = [_from_wire(event) for event in reply.events]
             if batches:
                 after = batches[-1].sequence
--- a/egretshed/callers/tests/events.feature
+++ b/egretshed/callers/tests/events.feature
@@ -25,3 +25,16 @@
       | 1        | the same  |
       | 1        | the other |
       | 20       | the other |
+
+  Scenario Outline: The node that runs a stream is silent <when>
+    # Guards against a resumed stream that ends without a final answer: once a keep-alive
+    # comment is written, the caller can no longer be told that its stream is lost.
+    Given a resumed stream whose node answers <replies> times and then not at all
+    When the stream is read
+    Then it is lost after <calls> calls to the node
+    And the first call ends before a keep-alive comment is due
+
+    Examples:
+      | when                | replies | calls |
+      | from the start      | 0       | 1     |
+      | after its first one | 1       | 4     |
--- a/egretshed/callers/tests/steps/caller_steps.py
+++ b/egretshed/callers/tests/steps/caller_steps.py
@@ -9,8 +9,18 @@
     when,
 )
 
-from egretshed.callers.events import local_batches
+from egretshed.callers.events import (
+    StreamLost,
+    StreamPeers,
+    local_batches,
+)
+from egretshed.callers.handlers import KEEP_ALIVE_S
 from egretshed.configuration.keys import digest_key
+from egretshed.errors import PeerUnavailable
+from egretshed.gen.messages.ttypes import (
+    StreamEvent,
+    StreamEvents,
+)
 from egretshed.requests.stream import RequestStream
 from standins.clock import ManualClock
 from standins.environments import make_environment
@@ -198,6 +208,56 @@
     assert got == ["a"] + ["b"] * context.late.split().count("token")
 
 
+class SilentPeers:
+    """Replies with one token so many times, then never."""
+
+    def __init__(self, replies):
+        self.replies = replies
+        self.timeouts_s = []
+
+    def handle(self, message_type, handler):
+        pass
+
+    async def call(self, node_id, fetch, timeout_s):
+        self.timeouts_s.append(timeout_s)
+        if len(self.timeouts_s) > self.replies:
+            raise PeerUnavailable("silent", node_id=node_id)
+        body = {"event": "tokens", "data": {"tokens": ["a"]}}
+        event = StreamEvent(fetch.after_sequence + 1, json.dumps(body).encode())
+        return StreamEvents([event], False)
+
+
+@given("a resumed stream whose node answers {replies:d} times and then not at all")
+def silent_node(context, replies):
+    context.peers = SilentPeers(replies)
+
+
+@when("the stream is read")
+def read_stream(context):
+    env = make_environment(ManualClock(), node_id="entry-1")
+    streams = StreamPeers(env, context.peers, runner=None)
+
+    async def read():
+        async for _ in streams.batches("customer", "entry-2:1:1", 0):
+            pass
+
+    try:
+        run(context, read())
+    except StreamLost as lost:
+        context.lost = lost
+
+
+@then("it is lost after {calls:d} calls to the node")
+def lost_after(context, calls):
+    assert context.lost.code == "stream_lost"
+    assert len(context.peers.timeouts_s) == calls, context.peers.timeouts_s
+
+
+@then("the first call ends before a keep-alive comment is due")
+def first_is_short(context):
+    assert context.peers.timeouts_s[0] < KEEP_ALIVE_S
+
+
 def parse_events(text: str) -> list[tuple[int, str, dict]]:
     events = []
     for block in text.split("\n\n"):
