Wake one task for each relayed event instead of starting one

Cause: a profile of a streaming daemon showed a new event object for each token and a new task and timer for each batch sent to a caller. Change: a stream keeps one event object, set once for all tokens that arrive together; local streams are read without a task for each batch, and keep-alive comments come from the source of the batches.

--- a/egretshed/callers/events.py
+++ b/egretshed/callers/events.py
@@ -34,6 +34,7 @@
     StreamBatch,
 )
 
+KEEP_ALIVE_S = 2.0
 FETCH_WAIT_S = 1.0
 FETCH_TIMEOUT_S = 2.0
 FETCH_ATTEMPTS = 3
@@ -65,10 +66,17 @@
     """Yield what follows `after`; tokens that arrive together come as one batch.
 
     After the first token, waits up to `coalesce_s` for more, so that a burst costs one
-    write and an interval far below the token interval is added.
+    write and an interval far below the token interval is added. Yields an empty list
+    when nothing comes for KEEP_ALIVE_S.
     """
     while True:
-        await stream.wait_beyond(after)
+        if stream.sequence <= after:
+            try:
+                async with asyncio.timeout(KEEP_ALIVE_S):
+                    await stream.wait_beyond(after)
+            except TimeoutError:
+                yield []
+                continue
         if stream.has_tokens and not stream.finished and after:
             await asyncio.sleep(coalesce_s)
         batches = stream.batches_after(after)
@@ -80,6 +88,28 @@
             return
 
 
+async def keeping_alive(
+    batches: AsyncIterator[list[StreamBatch]],
+) -> AsyncIterator[list[StreamBatch]]:
+    """Yield from `batches`, and an empty list when nothing comes for KEEP_ALIVE_S."""
+    iterator = aiter(batches)
+    upcoming = asyncio.ensure_future(anext(iterator))
+    try:
+        while True:
+            done, _ = await asyncio.wait({upcoming}, timeout=KEEP_ALIVE_S)
+            if not done:
+                yield []
+                continue
+            try:
+                found = upcoming.result()
+            except StopAsyncIteration:
+                return
+            upcoming = asyncio.ensure_future(anext(iterator))
+            yield found
+    finally:
+        upcoming.cancel()
+
+
 class StreamPeers:
     """Serves and reads streams between nodes."""
 
@@ -106,9 +136,8 @@
         if location is None:
             raise NotFound(f"unknown stream {stream_id!r}")
         if not self.is_local(location):
-            async for batches in self._remote_batches(
-                location, customer_id, stream_id, after
-            ):
+            remote = self._remote_batches(location, customer_id, stream_id, after)
+            async for batches in keeping_alive(remote):
                 yield batches
             return
         stream = self.runner.store.find(customer_id, stream_id)
--- a/egretshed/callers/handlers.py
+++ b/egretshed/callers/handlers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from typing import (
     Any,
     NamedTuple,
@@ -44,7 +45,6 @@
     read_submission,
 )
 
-KEEP_ALIVE_S = 2.0
 KEEP_ALIVE_COMMENT = b": keep-alive\n\n"
 DEFAULT_ADDRESS_COUNT = 3
 MAX_ADDRESS_COUNT = 16
@@ -219,32 +219,21 @@
 
 
 async def send_events(handler: CallerHandler, batches) -> None:
-    """Write batches as server-sent events; a comment when nothing comes for long."""
+    """Write batches as server-sent events, an empty one as a comment."""
     limit_s = handler.services.env.settings.streams.caller_silence_limit_s
-    iterator = aiter(batches)
-    upcoming = asyncio.ensure_future(anext(iterator))
     try:
-        while True:
-            done, _ = await asyncio.wait({upcoming}, timeout=KEEP_ALIVE_S)
-            if done:
-                try:
-                    body = b"".join(encode_event(b) for b in upcoming.result())
-                except StopAsyncIteration:
-                    break
-                upcoming = asyncio.ensure_future(anext(iterator))
-            else:
-                body = KEEP_ALIVE_COMMENT
-            if not handler._headers_written:
-                handler.set_header("Content-Type", "text/event-stream")
-                handler.set_header("Cache-Control", "no-store")
-            handler.write(body)
-            async with asyncio.timeout(limit_s):
-                await handler.flush()
+        async with contextlib.aclosing(batches):
+            async for found in batches:
+                body = b"".join(map(encode_event, found)) or KEEP_ALIVE_COMMENT
+                if not handler._headers_written:
+                    handler.set_header("Content-Type", "text/event-stream")
+                    handler.set_header("Cache-Control", "no-store")
+                handler.write(body)
+                async with asyncio.timeout(limit_s):
+                    await handler.flush()
         await handler.finish()
     except (StreamClosedError, TimeoutError):
         close_connection(handler)
-    finally:
-        upcoming.cancel()
 
 
 def close_connection(handler: CallerHandler) -> None:
--- a/egretshed/requests/stream.py
+++ b/egretshed/requests/stream.py
@@ -82,7 +82,9 @@
         if self.first_token_s is None:
             self.first_token_s = self.env.clock.monotonic_s() - self.started_s
         for token in tokens:
-            self._append(StreamItem("token", token))
+            self.items.append(StreamItem("token", token))
+            self.bytes_used += ITEM_OVERHEAD_BYTES + len(token)
+        self._changed.set()
 
     def reset(self) -> None:
         """Tell readers to discard the tokens that they have of this request."""
@@ -129,6 +131,8 @@
     async def wait_beyond(self, sequence: int) -> None:
         """Return once there is an item after `sequence`."""
         while self.sequence <= sequence:
+            # Other readers that wait have been woken by the call that set it.
+            self._changed.clear()
             await self._changed.wait()
 
     def text(self) -> str:
@@ -149,7 +153,5 @@
 
     def _append(self, item: StreamItem) -> None:
         self.items.append(item)
-        size = len(item.data) if isinstance(item.data, str) else len(str(item.data))
-        self.bytes_used += ITEM_OVERHEAD_BYTES + size
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self.bytes_used += ITEM_OVERHEAD_BYTES + len(str(item.data))
+        self._changed.set()
