--- a/egretshed/requests/pace.py
+++ b/egretshed/requests/pace.py
@@ -45,6 +45,10 @@
         self._times_s: deque[float] = deque(maxlen=WINDOW_TOKENS + 1)
         self._count = 0
 
+    @property
+    def has_tokens(self) -> bool:
+        return self._count > 0
+
     def note(self, tokens: int, now_s: float) -> None:
         self._count += tokens
         self._times_s.extend([now_s] * min(tokens, WINDOW_TOKENS))
@@ -70,11 +74,12 @@
 
 
 async def within_pace(
-    clock: Clock, work: asyncio.Future, pace: CallPace, could_move
+    clock: Clock, work: asyncio.Future, pace: CallPace, could_move, on_check
 ) -> Any:
     """Return the result of `work`; raise `BackendSlow` once it is too slow.
 
     `could_move()` says whether another server could still complete the call.
+    `on_check()` is called in each check period.
     """
     try:
         while not work.done():
@@ -85,6 +90,7 @@
                 timer.cancel()
             if work.done():
                 break
+            on_check()
             if pace.is_too_slow(clock.monotonic_s()) and could_move():
                 raise BackendSlow("the call cannot end in time at its present pace")
         return await work
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -517,7 +517,16 @@
             self._paces.token_s(stage.pool),
         )
 
+        router = self.services.router
+        sent_s = self.env.clock.monotonic_s()
+
+        def check_first_token() -> None:
+            if not pace.has_tokens:
+                waited_s = self.env.clock.monotonic_s() - sent_s
+                router.note_first_token(decision, waited_s)
+
         def on_tokens(event: TokenEvent) -> None:
+            check_first_token()
             pace.note(len(event.tokens), self.env.clock.monotonic_s())
             self._on_tokens(run, attempt_id, event)
 
@@ -528,7 +537,9 @@
         if pace.usual_token_s is None:
             result = await work
         else:
-            result = await within_pace(self.env.clock, work, pace, could_move)
+            result = await within_pace(
+                self.env.clock, work, pace, could_move, check_first_token
+            )
         require(
             self.env,
             result.attempt_id == run.attempt_id,
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -68,6 +68,7 @@
         self._policy = POLICIES.get(env.settings.routing.policy)()
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
+        self._cold_attempts: set[str] = set()  # Their coldness has been told.
         self._line = WaitingLine()
         self.capacities = PoolCapacities(env, borrower, membership, self._usable_ids)
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
@@ -167,6 +168,24 @@
         """Release the slot and learn from the call; neither given means cancelled."""
         self.release(decision, self.judge(decision, result, error))
 
+    def note_first_token(self, decision: RoutingDecision, waited_s: float) -> None:
+        """Tell at once if a first token came, or has not come, after `waited_s`.
+
+        Otherwise a sign of coldness would be known only when a long call has ended.
+        """
+        replica_id = decision.replica.replica_id
+        attempt_id = decision.slot.attempt_id
+        times = self._times.get(replica_id)
+        if times is None or attempt_id in self._cold_attempts:
+            return
+        if not times.is_late(waited_s):
+            return
+        times.observe_late()
+        self._cold_attempts.add(attempt_id)
+        self.hints.forget(replica_id)
+        self.borrower.note_cold(replica_id)
+        log_event(self.env.logger, "replica_seems_cold", replica_id=replica_id)
+
     def release(self, decision: RoutingDecision, observation: CallObservation) -> None:
         self.borrower.release(decision.slot, observation)
 
@@ -179,15 +198,17 @@
         """Learn from the call; return what to release its slot with."""
         replica_id = decision.replica.replica_id
         seems_cold = isinstance(error, BackendRejected)
+        known_cold = decision.slot.attempt_id in self._cold_attempts
+        self._cold_attempts.discard(decision.slot.attempt_id)
         if isinstance(error, BackendSlow):
             taken_s = self.env.clock.monotonic_s() - decision.decided_s
             self._times.setdefault(replica_id, ReplicaTimes()).observe_slow(taken_s)
-        if result is not None:
+        if result is not None and not known_cold:
             seems_cold = self._learn(decision, result)
         if seems_cold:
             self.hints.forget(replica_id)
             log_event(self.env.logger, "replica_seems_cold", replica_id=replica_id)
-        elif result is not None:
+        elif result is not None and not known_cold:
             self.hints.note(replica_id, decision.call.prefix)
         self._note_on_circuit(decision, result, error)
         return CallObservation(
--- a/egretshed/routing/tests/routing.feature
+++ b/egretshed/routing/tests/routing.feature
@@ -190,3 +190,16 @@
     And calls wait for a slot: a:p1:9s
     When a slot of p-0 becomes free and a is cancelled before it wakes
     Then p-0 has 1 free slot
+
+  Scenario Outline: A sign during a call guards against <failure>
+    Given a router with policy "predictive" over 1 replicas
+    And all calls had a first token after 0.2 s
+    When a running call has waited <waits> s for its first token
+    Then its server was said <times> times to be cold while it ran
+    And its end is no further sign
+
+    Examples:
+      | failure                                    | waits   | times |
+      | load on a cold server until a call ends    | 0.7     | 1     |
+      | a cold limit for an ordinary wait          | 0.5     | 0     |
+      | one call counted as many signs             | 0.7 0.9 | 1     |
--- a/egretshed/routing/tests/steps/routing_steps.py
+++ b/egretshed/routing/tests/steps/routing_steps.py
@@ -464,3 +464,22 @@
 @then("{replica_id} has {count:d} free slot")
 def has_free(context, replica_id, count):
     assert context.borrower.views[replica_id].free == count
+
+
+@when("a running call has waited {waits} s for its first token")
+def call_waits_for_token(context, waits):
+    context.decision = context.router.choose(make_call(context))
+    for waited in waits.split():
+        context.router.note_first_token(context.decision, float(waited))
+
+
+@then("its server was said {times:d} times to be cold while it ran")
+def said_cold(context, times):
+    assert context.borrower.cold == ["p-0"] * times, context.borrower.cold
+
+
+@then("its end is no further sign")
+def no_further_sign(context):
+    context.router.observe(context.decision, make_result(context.decision, 0.5), None)
+    _, observation = context.borrower.released[-1]
+    assert not observation.seems_cold, observation
--- a/egretshed/slots/borrower.py
+++ b/egretshed/slots/borrower.py
@@ -85,6 +85,13 @@
             self._hurry(slot.replica_id)
         self.wake_waiters()
 
+    def note_cold(self, replica_id: str) -> None:
+        """Stop using the loan and tell the owner, while the call still runs."""
+        state = self._state(replica_id)
+        state.cold_signs += 1
+        state.drop()
+        self._hurry(replica_id)
+
     def note_demand(self, replica_ids: list[str]) -> None:
         """Ask for one more slot on each replica."""
         for replica_id in replica_ids:
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -230,3 +230,11 @@
     When the owner leaves and the others know at once
     And 0.6 s pass
     Then the earlier owner gives its ledger to no other process
+
+  Scenario: A sign of coldness during a call lowers the limit at once
+    Guards against the warm limit on a cold server until a long call has ended.
+    Given 3 nodes that share a warm server
+    When another node than the owner runs 2 calls of 3 s
+    And the other node notes that the server seems cold
+    And 0.2 s pass
+    Then the owner's limit is 2
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -524,3 +524,8 @@
     restarted = Sender(taker.node_id, taker.incarnation + 1)
     assert handover._hand(first, "p-0") is not None
     assert handover._hand(restarted, "p-0") is None
+
+
+@when("the other node notes that the server seems cold")
+def notes_cold(context):
+    context.other.service.borrower.note_cold("p-0")
--- a/standins/fake_borrower.py
+++ b/standins/fake_borrower.py
@@ -18,6 +18,7 @@
             for replica_id in replica_ids
         }
         self.demanded: list[str] = []
+        self.cold: list[str] = []
         self.released: list[tuple[Slot, CallObservation]] = []
         self.changed = None
 
@@ -39,6 +40,9 @@
         view = self.views[slot.replica_id]
         self.set(slot.replica_id, free=view.free + 1)
 
+    def note_cold(self, replica_id: str) -> None:
+        self.cold.append(replica_id)
+
     def note_demand(self, replica_ids: list[str]) -> None:
         self.demanded += replica_ids
 
