--- a/egretshed/routing/latency.py
+++ b/egretshed/routing/latency.py
@@ -62,6 +62,23 @@
             return False
         return result.first_token_s > LATE_FACTOR * mark.high_s
 
+    def is_wait_late(self, waited_s: float) -> bool:
+        """Whether a running call, whose prompt length is unknown, is late by any mark."""
+        highest = self._highest_mark()
+        if highest is None or waited_s < LATE_MIN_S:
+            return False
+        return waited_s > LATE_FACTOR * highest.high_s
+
+    def observe_late_wait(self) -> None:
+        """Raise the highest mark, as `observe_late` does for that of one length."""
+        highest = self._highest_mark()
+        if highest is not None:
+            highest.high_s *= 2
+
+    def _highest_mark(self) -> HighMark | None:
+        marks = [mark for mark in self._marks.values() if mark.calls >= MIN_CALLS]
+        return max(marks, key=lambda mark: mark.high_s, default=None)
+
     def _mark(self, result: BackendResult) -> HighMark:
         """Return the mark of prompts between two powers of 2 in length."""
         return self._marks.setdefault(result.prompt_tokens.bit_length(), HighMark())
--- a/standins/run_tests.py
+++ b/standins/run_tests.py
@@ -36,7 +36,7 @@
         if slice_name not in ("all", name):
             continue
         if only in ("all", "behave") and any(folder.glob("*.feature")):
-            behave = ("-m", "behave", "--no-capture", "--format", "progress")
+            behave = ("-m", "behave", "--no-capture", "--format", "progress3")
             tags = ("--tags", "not @known_red", "--no-skipped")
             suites.append(Suite(f"{name} features", (*behave, *tags, str(folder))))
         if only in ("all", "fuzz"):
