--- a/egretshed/routing/latency.py
+++ b/egretshed/routing/latency.py
@@ -63,7 +63,7 @@
         return result.first_token_s > LATE_FACTOR * mark.high_s
 
     def is_wait_late(self, waited_s: float) -> bool:
-        """Whether a running call, whose prompt length is unknown, is late by any mark."""
+        """Whether a running call is late whatever the length of its prompt."""
         highest = self._highest_mark()
         if highest is None or waited_s < LATE_MIN_S:
             return False
