Share the event loop, the system and the fuzz runner among tests

Cause: Three folders had their own copy of the loop and of starting a system, and fuzz_plans its own command line. A shutdown scenario has failed since settings require a take-over wait above the detection bound: its settings kept a shorter wait. Change: standins.behave_loop holds the loop, `run` and `start_system`; fuzz_plans uses standins.fuzz. The scenario sets a take-over wait that its detection bound requires. Conclusion: No check has changed.

--- a/egretshed/cli/tests/steps/live_steps.py
+++ b/egretshed/cli/tests/steps/live_steps.py
@@ -14,26 +14,20 @@
     run_tool,
 )
 from egretshed.platform.interface import WeightVersion
-from standins.system import System
+from standins.behave_loop import (
+    run,
+    start_system,
+)
 
-ROOT = Path(__file__).resolve().parents[4]
 PLANS = {"step_period_s": 0.02, "idle_poll_s": 0.1}
 CALL_PERIOD_S = 0.05
 LOAD_BYTES_PER_S = 2e10
 PROMISE_S = 2.0
-LIMIT_S = 60.0
-
-
-def run(context, coroutine):
-    return context.loop.run_until_complete(asyncio.wait_for(coroutine, LIMIT_S))
 
 
 @given("two running nodes")
 def two_nodes(context):
-    system = System(ROOT / "examples" / "laurentien", nodes=2, plans=PLANS)
-    run(context, system.__aenter__())
-    context.add_cleanup(lambda: run(context, system.__aexit__()))
-    context.system = system
+    system = start_system(context, nodes=2, plans=PLANS)
     core = system.host.platform.core
     core.weights.append(WeightVersion("rota-llm", "2027.01", int(2e9)))
     for server in system.host.backends:
--- a/egretshed/daemon/tests/environment.py
+++ b/egretshed/daemon/tests/environment.py
@@ -1,9 +1,9 @@
-import asyncio
+from standins import behave_loop
+from standins.behave_loop import after_all  # noqa: F401
 
 
 def before_all(context):
-    context.loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(context.loop)
+    behave_loop.before_all(context)
     context.systems = {}
 
 
@@ -11,7 +11,3 @@
     for system in context.systems.values():
         context.loop.run_until_complete(system.stop())
     context.systems = {}
-
-
-def after_all(context):
-    context.loop.close()
--- a/egretshed/daemon/tests/steps/bootstrap_steps.py
+++ b/egretshed/daemon/tests/steps/bootstrap_steps.py
@@ -1,6 +1,5 @@
 import asyncio
 import json
-from pathlib import Path
 
 from behave import (
     given,
@@ -9,14 +8,10 @@
 )
 
 from egretshed.configuration.keys import digest_key
-from standins.system import System
-
-ROOT = Path(__file__).resolve().parents[4]
-LIMIT_S = 30.0
-
-
-def run(context, coroutine):
-    return context.loop.run_until_complete(asyncio.wait_for(coroutine, LIMIT_S))
+from standins.behave_loop import (
+    run,
+    start_system,
+)
 
 
 def call(context, method, path, key, body=None):
@@ -36,13 +31,8 @@
 @given('a node with an empty table and the bootstrap key "{key}"')
 def empty_node(context, key):
     context.key = key
-    context.system = System(
-        ROOT / "examples" / "laurentien",
-        configured=False,
-        configuration={"bootstrap_key_digests": [digest_key(key)]},
-    )
-    run(context, context.system.__aenter__())
-    context.add_cleanup(lambda: run(context, context.system.__aexit__()))
+    digests = {"bootstrap_key_digests": [digest_key(key)]}
+    start_system(context, nodes=1, configured=False, configuration=digests)
 
 
 @when("the bootstrap key proposes and confirms the example configuration")
--- a/egretshed/daemon/tests/steps/shutdown_steps.py
+++ b/egretshed/daemon/tests/steps/shutdown_steps.py
@@ -1,6 +1,5 @@
 import asyncio
 import json
-from pathlib import Path
 
 from behave import (
     given,
@@ -8,35 +7,31 @@
     when,
 )
 
+from standins.behave_loop import (
+    run,
+    start_system,
+)
 from standins.system import (
     FAST_MEMBERSHIP,
-    System,
+    FAST_SLOTS,
 )
 
-ROOT = Path(__file__).resolve().parents[4]
+DETECTION_MARGIN_S = 1.0
 CUSTOMER = "val-david"
-LIMIT_S = 30.0
 SLOW_READ_S = 0.15
 
 
-def run(context, coroutine):
-    return context.loop.run_until_complete(asyncio.wait_for(coroutine, LIMIT_S))
-
-
 @given("two running nodes")
 def two_nodes(context):
-    context.system = System(ROOT / "examples" / "laurentien", nodes=2)
-    run(context, context.system.__aenter__())
-    context.add_cleanup(lambda: run(context, context.system.__aexit__()))
+    start_system(context, nodes=2)
 
 
 @given("two running nodes that detect a failure after {suspicion_s:g} s")
 def two_patient_nodes(context, suspicion_s):
     membership = {**FAST_MEMBERSHIP, "suspicion_s": suspicion_s}
-    example = ROOT / "examples" / "laurentien"
-    context.system = System(example, nodes=2, membership=membership)
-    run(context, context.system.__aenter__())
-    context.add_cleanup(lambda: run(context, context.system.__aexit__()))
+    # Settings require the detection bound and a loan duration at least.
+    slots = {**FAST_SLOTS, "take_over_wait_s": suspicion_s + DETECTION_MARGIN_S}
+    start_system(context, nodes=2, membership=membership, slots=slots)
 
 
 @when("the first node begins to stop")
--- a/egretshed/plans/tests/fuzz_plans.py
+++ b/egretshed/plans/tests/fuzz_plans.py
@@ -8,21 +8,13 @@
 still take effect.
 """
 
-import argparse
 import asyncio
-import sys
-import time
 
-from hypothesis import (
-    seed,
-    settings,
-    strategies as st,
-)
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from egretshed.errors import (
@@ -37,6 +29,7 @@
     DOMAINS,
     Cluster,
 )
+from standins.fuzz import fuzz_main
 
 EXAMPLES = 120
 STEPS = 30
@@ -256,32 +249,5 @@
         self.quiet_state = state
 
 
-def run(number=None, examples=EXAMPLES):
-    options = settings(
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        derandomize=number is None,
-        database=None,
-        deadline=None,
-    )
-    machine = Plans if number is None else seed(number)(Plans)
-    run_state_machine_as_test(machine, settings=options)
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float)
-    parser.add_argument("--seed", type=int, default=1)
-    options = parser.parse_args()
-    if options.seconds is None:
-        run()
-        return
-    end_s, number = time.monotonic() + options.seconds, options.seed
-    while time.monotonic() < end_s:
-        print(f"seed {number}", flush=True)
-        run(number)
-        number += 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    fuzz_main(Plans, EXAMPLES, STEPS)
