--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -28,6 +28,7 @@
     AlreadyClaimed,
     BackendError,
     DeadlineExceeded,
+    EarlierMayHaveRun,
     EgretshedError,
     InvalidRequest,
     NoReplicaAvailable,
@@ -38,10 +39,20 @@
 )
 from egretshed.invariants import require
 from egretshed.logs import log_event
+from egretshed.requests.abandon import AbandonedCalls
+from egretshed.requests.early import (
+    EarlyChoice,
+    SlotWaits,
+)
 from egretshed.requests.outcomes import (
     complete_outcome,
     outcome_of,
 )
+from egretshed.requests.pace import (
+    CallPace,
+    UsualPaces,
+    within_pace,
+)
 from egretshed.requests.stages import (
     PipelineState,
     cache_prefix,
@@ -69,6 +80,9 @@
 from egretshed.routing.router import Router
 
 STORE_EXPIRY_PERIOD_S = 1.0
+REFUSAL_RETURN_S = (0.2, 1.0)
+# Quantile of a pool's calls that counts as the least time that one may take.
+FASTEST_SHARE = 0.1
 
 
 class RunnerServices(NamedTuple):
@@ -103,8 +117,12 @@
         self.env = env
         self.services = services
         self.store = StreamStore(env)
+        self.abandoned = AbandonedCalls(env.clock, services.router, services.backends)
+        self._paces = UsualPaces()
+        self._slot_waits = SlotWaits()
         self._runs: dict[str, _Run] = {}
         self._attempt_numbers = itertools.count(1)
+        self._refusal = ""
 
     async def run(self) -> None:
         """Expire finished streams until cancelled."""
@@ -123,12 +141,7 @@
             self._check_same(known, submission)
             if not known.may_run_again:
                 return known
-        if not self.services.configuration.is_fresh():
-            raise NotRun(
-                "the node cannot confirm its configuration",
-                reason="configuration_not_fresh",
-                retry_after_s=self.env.random.uniform(0.5, 2.0),
-            )
+        self._check_may_start(submission)
         stream = self.store.create(submission.customer_id, submission.request_id)
         stream.body_digest = hash(str(submission.body))
         stream.earlier_may_have_run = submission.resubmission
@@ -140,6 +153,23 @@
         run.task = asyncio.create_task(self._run(run))
         return stream
 
+    def refuse_new(self, reason: str) -> None:
+        """Start no more requests; running ones go on."""
+        self._refusal = reason
+
+    def _check_may_start(self, submission: Submission) -> None:
+        reason = self._refusal
+        if not self.services.configuration.is_fresh():
+            reason = "configuration_not_fresh"
+        if not reason:
+            return
+        kind = EarlierMayHaveRun if submission.resubmission else NotRun
+        raise kind(
+            "this node starts no new requests",
+            reason=reason,
+            retry_after_s=round(self.env.random.uniform(*REFUSAL_RETURN_S), 3),
+        )
+
     def cancel(self, customer_id: str, stream_id: str) -> bool:
         """Cancel a running request of this customer; False if there is none."""
         run = self._runs.get(stream_id)
@@ -268,13 +298,48 @@
             submission.kind,
             submission.body,
         )
+        early = self._start_early(run, state)
+        try:
+            return await self._run_each_stage(run, state, early)
+        finally:
+            if early is not None:
+                early.give_up()
+
+    def _start_early(self, run: _Run, state: PipelineState) -> EarlyChoice | None:
+        """Begin to wait for the slot of a generation at the end of a pipeline."""
+        *before, last = run.submission.stages
+        role = self.services.configuration.current.pools[last.pool].role
+        if not before or role != "engine":
+            return None
+        times = self.services.stage_times
+        before_s = sum(times.estimate_s(stage.pool) for stage in before)
+        after_s = self._slot_waits.start_after_s(last.pool, before_s)
+        if after_s is None:
+            return None
+
+        async def choose() -> RoutingDecision:
+            away = Retry(frozenset(), frozenset())
+            left_s = run.end_s - self.env.clock.monotonic_s()
+            return await self._choose(run, last, state, left_s, away)
+
+        def give_back(decision: RoutingDecision) -> None:
+            self.services.router.observe(decision, None, None)
+
+        return EarlyChoice(self.env.clock, choose, after_s, give_back)
+
+    async def _run_each_stage(
+        self, run: _Run, state: PipelineState, early: EarlyChoice | None
+    ) -> dict[str, Any]:
+        submission = run.submission
         for index, stage in enumerate(submission.stages):
+            is_last = index == len(submission.stages) - 1
             role = self.services.configuration.current.pools[stage.pool].role
             form = stage_form(role)
             rest = [later.pool for later in submission.stages[index:]]
             remaining_s = run.end_s - self.env.clock.monotonic_s()
             shares_s = divide_deadline(self.services.stage_times, rest, remaining_s)
-            result = await self._run_stage(run, stage, state, form, shares_s[0])
+            chosen = early if is_last else None
+            result = await self._run_stage(run, stage, state, form, shares_s[0], chosen)
             state = form.merge(state, result.output)
             run.usage[stage.name] = _usage(result)
         output = state.result if state.result is not None else {}
@@ -283,17 +348,26 @@
         return complete_outcome(run.stream, output, run.usage)
 
     async def _run_stage(
-        self, run: _Run, stage: Stage, state: PipelineState, form: type, share_s: float
+        self,
+        run: _Run,
+        stage: Stage,
+        state: PipelineState,
+        form: type,
+        share_s: float,
+        early: EarlyChoice | None = None,
     ) -> BackendResult:
         """Try the stage until it completes or no further attempt is allowed.
 
-        `share_s` is the part of the deadline that this stage should take.
+        `share_s` is the part of the deadline that this stage should take. The first
+        attempt uses the `early` choice if it was made.
         """
         self.services.budgets.note_call(run.submission.customer_id, stage.name)
         away = Retry(frozenset(), frozenset())
         may_have_run_before = False
         for attempt in itertools.count(1):
-            decision = await self._choose(run, stage, state, share_s, away)
+            decision = await early.decision() if early and attempt == 1 else None
+            if decision is None:
+                decision = await self._choose(run, stage, state, share_s, away)
             sent_before = run.stream.sent_to_backend
             try:
                 return await self._attempt(run, stage, state, form, decision)
@@ -357,15 +431,25 @@
             prefix=cache_prefix(state),
             excluded_replicas=away.excluded_replicas,
             excluded_domains=away.excluded_domains,
+            priority=run.submission.priority,
         )
+        # A slot that comes later would be used in vain.
+        fastest_s = self.services.stage_times.estimate_s(stage.pool, FASTEST_SHARE)
+        wait_s = max(0.0, remaining_s - fastest_s)
+        asked_s = self.env.clock.monotonic_s()
         try:
-            return await self.services.router.choose_within(call, remaining_s)
+            decision = await self.services.router.choose_within(call, wait_s)
+            waited_s = self.env.clock.monotonic_s() - asked_s
+            self._slot_waits.observe(stage.pool, waited_s)
+            return decision
         except NoReplicaAvailable as error:
             kind = RequestFailed if run.stream.sent_to_backend else NotRun
+            after_s = error.fields.get("lends_after_s", 0.0)
             raise kind(
                 f"no replica of {stage.pool} is available",
                 reason="no_replica",
                 stage=stage.name,
+                retry_after_s=after_s + self.env.random.uniform(*REFUSAL_RETURN_S),
             ) from error
 
     async def _attempt(
@@ -376,13 +460,18 @@
             await self._claim(run)
             result = await self._call(run, stage, state, form, decision)
         except EgretshedError as error:
-            router.observe(decision, None, error)
+            if isinstance(error, BackendError) and may_have_run(error):
+                self.abandoned.add(decision, error)
+            else:
+                router.observe(decision, None, error)
             raise
         except asyncio.CancelledError:
-            router.observe(decision, None, RequestCancelled())
-            self._cancel_at_backend(decision)
+            self.abandoned.add(decision, RequestCancelled())
             raise
         router.observe(decision, result, None)
+        self._paces.observe(
+            stage.pool, result.generated_tokens, result.total_s - result.first_token_s
+        )
         self.services.stage_times.observe(
             stage.pool, result.total_s, result.first_token_s
         )
@@ -422,10 +511,35 @@
         run.stream.sent_to_backend = True
         backend = self.services.backends.get(decision.replica.replica_id)
 
+        pace = CallPace(
+            call.payload.get("max_tokens", 0),
+            run.end_s,
+            self._paces.token_s(stage.pool),
+        )
+
+        router = self.services.router
+        sent_s = self.env.clock.monotonic_s()
+
+        def check_first_token() -> None:
+            if not pace.has_tokens:
+                waited_s = self.env.clock.monotonic_s() - sent_s
+                router.note_first_token(decision, waited_s)
+
         def on_tokens(event: TokenEvent) -> None:
+            check_first_token()
+            pace.note(len(event.tokens), self.env.clock.monotonic_s())
             self._on_tokens(run, attempt_id, event)
 
-        result = await backend.call(call, on_tokens)
+        def could_move() -> bool:
+            return self._could_move(run, stage, pace)
+
+        work = asyncio.ensure_future(backend.call(call, on_tokens))
+        if pace.usual_token_s is None:
+            result = await work
+        else:
+            result = await within_pace(
+                self.env.clock, work, pace, could_move, check_first_token
+            )
         require(
             self.env,
             result.attempt_id == run.attempt_id,
@@ -434,6 +548,19 @@
         )
         return result
 
+    def _could_move(self, run: _Run, stage: Stage, pace: CallPace) -> bool:
+        """Whether another server of usual pace could complete the call in time."""
+        submission = run.submission
+        budgets = self.services.budgets
+        if not submission.kind.repeatable:
+            return False
+        if not budgets.has_retry(submission.customer_id, stage.name):
+            return False
+        times = self.services.stage_times
+        usual_s = times.estimate_first_token_s(stage.pool)
+        usual_s += pace.expected_tokens * pace.usual_token_s
+        return self.env.clock.monotonic_s() + usual_s <= run.end_s
+
     def _on_tokens(self, run: _Run, attempt_id: str, event: TokenEvent) -> None:
         """Keep tokens of the current attempt; drop those of an abandoned one."""
         if run.attempt_id != attempt_id or run.stream.finished:
@@ -443,11 +570,6 @@
             return
         run.stream.append_tokens(event.tokens)
 
-    def _cancel_at_backend(self, decision: RoutingDecision) -> None:
-        backend = self.services.backends.get(decision.replica.replica_id)
-        task = asyncio.create_task(backend.cancel(decision.call.attempt_id))
-        task.add_done_callback(lambda t: t.cancelled() or t.exception())
-
     def _next_attempt_id(self) -> str:
         identity = self.env.identity
         number = next(self._attempt_numbers)
--- a/egretshed/routing/latency.py
+++ b/egretshed/routing/latency.py
@@ -4,13 +4,32 @@
 
 WEIGHT = 0.1
 MIN_CALLS = 5
-# Long prompts take many times the time of short ones, so a first token is compared with
-# the latest of recent calls. A server that loads weights again goes far beyond that.
+# A first token is compared with the latest of recent calls with prompts of about the
+# same length, since long ones take many times the time of short ones: without that, the
+# first long prompts after short ones made a warm server seem cold. A server that loads
+# weights again goes far beyond that.
 LATE_FACTOR = 3.0
 # Below this, a late first token may be an effect of scheduling on this node.
 LATE_MIN_S = 0.05
 HIGH_DECAY = 0.98
-EXPECTED_MATCH = 0.9
+WHOLE_PREFIX = 1.0
+# Single losses taken as signs made 74 false ones in a run of 40 s at half load.
+CHANCE = 1e-4
+FIRST_LOSS_SHARE = 0.1
+LEAST_LOSS_SHARE = 0.02
+LOSS_WEIGHT = 0.05
+
+
+class HighMark:
+    """Recent highest first token time of prompts of about the same length."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.high_s = 0.0
+
+    def observe(self, first_token_s: float) -> None:
+        self.calls += 1
+        self.high_s = max(self.high_s * HIGH_DECAY, first_token_s)
 
 
 class ReplicaTimes:
@@ -19,31 +38,84 @@
     def __init__(self) -> None:
         self.calls = 0
         self.first_token_s = 0.0
-        self.first_token_high_s = 0.0
         self.total_s = 0.0
+        self._marks: dict[int, HighMark] = {}
 
     def observe(self, result: BackendResult) -> None:
         self.calls += 1
         weight = max(WEIGHT, 1 / self.calls)
         self.first_token_s += (result.first_token_s - self.first_token_s) * weight
         self.total_s += (result.total_s - self.total_s) * weight
-        kept_s = self.first_token_high_s * HIGH_DECAY
-        self.first_token_high_s = max(kept_s, result.first_token_s)
+        self._mark(result).observe(result.first_token_s)
+
+    def observe_slow(self, taken_s: float) -> None:
+        """Rank a server by a call that was given up as too slow after `taken_s`."""
+        self.first_token_s = max(self.first_token_s, taken_s)
 
-    def observe_late(self) -> None:
+    def observe_late(self, result: BackendResult) -> None:
         """Raise the high mark, so that a server slow for good is not cold for good."""
-        self.first_token_high_s *= 2
+        self._mark(result).high_s *= 2
 
-    def is_late(self, first_token_s: float) -> bool:
-        if self.calls < MIN_CALLS or first_token_s < LATE_MIN_S:
+    def is_late(self, result: BackendResult) -> bool:
+        mark = self._mark(result)
+        if mark.calls < MIN_CALLS or result.first_token_s < LATE_MIN_S:
             return False
-        return first_token_s > LATE_FACTOR * self.first_token_high_s
+        return result.first_token_s > LATE_FACTOR * mark.high_s
+
+    def is_wait_late(self, waited_s: float) -> bool:
+        """Whether a running call is late whatever the length of its prompt."""
+        highest = self._highest_mark()
+        if highest is None or waited_s < LATE_MIN_S:
+            return False
+        return waited_s > LATE_FACTOR * highest.high_s
+
+    def observe_late_wait(self) -> None:
+        """Raise the highest mark, as `observe_late` does for that of one length."""
+        highest = self._highest_mark()
+        if highest is not None:
+            highest.high_s *= 2
 
+    def _highest_mark(self) -> HighMark | None:
+        marks = [mark for mark in self._marks.values() if mark.calls >= MIN_CALLS]
+        return max(marks, key=lambda mark: mark.high_s, default=None)
 
-def lost_prefix(result: BackendResult, prefix_match: float) -> bool:
-    """Return whether nothing was cached although the whole prefix was expected.
+    def _mark(self, result: BackendResult) -> HighMark:
+        """Return the mark of prompts between two powers of 2 in length."""
+        return self._marks.setdefault(result.prompt_tokens.bit_length(), HighMark())
 
-    Only a result with a prompt counts: other servers report no cached tokens at all.
+
+class PrefixLosses:
+    """Tells an emptied cache from single prefixes that its engine evicted.
+
+    Hints lag behind evictions, so a busy engine often lacks a prefix that it was
+    expected to hold. One that turned cold lacks every one: the sign is a run of losses
+    that would come by chance less than once in `1 / CHANCE` calls.
     """
-    expected = prefix_match >= EXPECTED_MATCH and result.prompt_tokens > 0
-    return expected and result.cached_tokens == 0
+
+    def __init__(self) -> None:
+        self.usual_share = FIRST_LOSS_SHARE
+        self.in_a_row = 0
+
+    def seems_empty(self, result: BackendResult, prefix_match: float) -> bool:
+        """Count a result; only one with a prompt and the whole prefix expected counts.
+
+        A part of the prefix is no reason to expect any: keys of two sessions have a
+        long common part, but their prompts do not.
+        """
+        if prefix_match < WHOLE_PREFIX or not result.prompt_tokens:
+            return False
+        if result.cached_tokens:
+            self._end_run()
+            return False
+        self.in_a_row += 1
+        if self.usual_share**self.in_a_row >= CHANCE:
+            return False
+        self.in_a_row = 0
+        return True
+
+    def _end_run(self) -> None:
+        """Count the losses of the run and the prefix that was there."""
+        for lost in (1.0,) * self.in_a_row + (0.0,):
+            self.usual_share += (lost - self.usual_share) * LOSS_WEIGHT
+        self.usual_share = max(LEAST_LOSS_SHARE, self.usual_share)
+        self.in_a_row = 0
--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -14,10 +14,12 @@
 from egretshed.errors import (
     BackendError,
     BackendRejected,
+    BackendSlow,
     EgretshedError,
     NoReplicaAvailable,
 )
 from egretshed.logs import log_event
+from egretshed.routing.capacity import PoolCapacities
 from egretshed.routing.circuit import Circuit
 from egretshed.routing.decision_log import (
     Ranking,
@@ -25,8 +27,8 @@
     log_decision,
 )
 from egretshed.routing.latency import (
+    PrefixLosses,
     ReplicaTimes,
-    lost_prefix,
 )
 from egretshed.routing.policies import (
     POLICIES,
@@ -37,6 +39,10 @@
     RoutingDecision,
     StageCall,
 )
+from egretshed.routing.waiting import (
+    WaitingCall,
+    WaitingLine,
+)
 from egretshed.slots.records import (
     CallObservation,
     Slot,
@@ -62,11 +68,19 @@
         self._policy = POLICIES.get(env.settings.routing.policy)()
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
+        self._cold_attempts: set[str] = set()  # Their coldness has been told.
+        self._line = WaitingLine()
+        self.capacities = PoolCapacities(env, borrower, membership, self._usable_ids)
+        self._losses: dict[str, PrefixLosses] = {}
         self._short: Counter[str] = Counter()  # By pool, calls lately not placed.
         self._own_orders: dict[str, tuple[Pool, tuple[Replica, ...]]] = {}
 
     def choose(self, call: StageCall) -> RoutingDecision:
-        """Return a decision that holds a slot; raise `NoReplicaAvailable` if none."""
+        """Return a decision that holds a slot; raise `NoReplicaAvailable` if none.
+
+        Waiting calls of the pool are served first.
+        """
+        self._serve_line(call.pool)
         ranking = self._rank(call)
         decision = self._take_first(call, ranking)
         log_decision(self.env, call, ranking, decision)
@@ -77,22 +91,75 @@
         return decision
 
     async def choose_within(self, call: StageCall, wait_s: float) -> RoutingDecision:
-        """Like `choose`, waiting at most `wait_s` for a slot to become free."""
-        ends_s = self.env.clock.monotonic_s() + wait_s
+        """Like `choose`, waiting at most `wait_s` for a slot to become free.
+
+        Slots go to waiting calls by priority, then by when they must have ended; a call
+        takes a slot only if no waiting call before it can use it.
+        """
+        waiting = self._line.join(call, self.env.clock.monotonic_s())
+        decision = None
+        try:
+            decision = await self._wait_in_line(waiting, wait_s)
+            return decision
+        finally:
+            self._line.leave(waiting)
+            if decision is None and waiting.placed.done():
+                # Cancelled between the placing and the return.
+                self.observe(waiting.placed.result(), None, None)
+
+    async def _wait_in_line(
+        self, waiting: WaitingCall, wait_s: float
+    ) -> RoutingDecision:
+        clock = self.env.clock
+        ends_s = clock.monotonic_s() + wait_s
         while True:
+            self._serve_line(waiting.call.pool)
+            if waiting.placed.done():
+                return waiting.placed.result()
+            call = waiting.call_at(clock.monotonic_s())
             ranking = self._rank(call)
-            decision = self._take_first(call, ranking)
-            left_s = ends_s - self.env.clock.monotonic_s()
-            if decision is None and left_s > 0 and ranking.scored:
-                # Ranks anew each period: other replicas may have slots by then.
-                wait_s = min(left_s, self.env.settings.slots.renew_period_s)
-                await self.borrower.wait_for_slot(ranking.wanted(), wait_s)
+            left_s = ends_s - clock.monotonic_s()
+            if self._place(waiting, call, ranking):
+                return waiting.placed.result()
+            lends_after_s = self.capacities.lends_after_s(call.pool)
+            if left_s <= lends_after_s or not ranking.scored:
+                log_decision(self.env, call, ranking, None)
+                count_refused(self.env, call)
+                raise NoReplicaAvailable(
+                    pool=call.pool, lost=ranking.lost, lends_after_s=lends_after_s
+                )
+            # Ranks anew each period: other replicas may have slots by then.
+            period_s = min(left_s, self.env.settings.slots.renew_period_s)
+            await self._until_slot_or_placed(waiting, ranking.wanted(), period_s)
+
+    async def _until_slot_or_placed(
+        self, waiting: WaitingCall, replica_ids: list[str], limit_s: float
+    ) -> None:
+        slot = asyncio.ensure_future(self.borrower.wait_for_slot(replica_ids, limit_s))
+        try:
+            await asyncio.wait(
+                {slot, waiting.placed}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            slot.cancel()
+
+    def _serve_line(self, pool: str) -> None:
+        """Place waiting calls of the pool in their order, as far as slots go."""
+        now_s = self.env.clock.monotonic_s()
+        for waiting in self._line.in_order(pool):
+            call = waiting.call_at(now_s)
+            if self._place(waiting, call, self._rank(call)):
                 continue
-            log_decision(self.env, call, ranking, decision)
-            if decision is not None:
-                return decision
-            count_refused(self.env, call)
-            raise NoReplicaAvailable(pool=call.pool, lost=ranking.lost)
+            if not call.excluded_replicas:
+                return  # No slot is left for those behind either.
+
+    def _place(self, waiting: WaitingCall, call: StageCall, ranking: Ranking) -> bool:
+        decision = self._take_first(call, ranking)
+        if decision is None:
+            return False
+        log_decision(self.env, call, ranking, decision)
+        self._line.place(waiting, decision)
+        return True
 
     def observe(
         self,
@@ -101,24 +168,64 @@
         error: EgretshedError | None,
     ) -> None:
         """Release the slot and learn from the call; neither given means cancelled."""
+        self.release(decision, self.judge(decision, result, error))
+
+    def note_first_token(self, decision: RoutingDecision, waited_s: float) -> None:
+        """Tell at once if a first token came, or has not come, after `waited_s`.
+
+        Otherwise a sign of coldness would be known only when a long call has ended.
+        """
         replica_id = decision.replica.replica_id
-        seems_cold = isinstance(error, BackendRejected)
-        if result is not None:
-            seems_cold = self._learn(decision, result)
+        attempt_id = decision.slot.attempt_id
+        times = self._times.get(replica_id)
+        if times is None or attempt_id in self._cold_attempts:
+            return
+        if not times.is_wait_late(waited_s):
+            return
+        times.observe_late_wait()
+        self._cold_attempts.add(attempt_id)
+        self.hints.forget(replica_id)
+        self.borrower.note_cold(replica_id)
+        log_event(
+            self.env.logger,
+            "replica_seems_cold",
+            replica_id=replica_id,
+            sign="no_first_token",
+        )
+
+    def release(self, decision: RoutingDecision, observation: CallObservation) -> None:
+        self.borrower.release(decision.slot, observation)
+
+    def judge(
+        self,
+        decision: RoutingDecision,
+        result: BackendResult | None,
+        error: EgretshedError | None,
+    ) -> CallObservation:
+        """Learn from the call; return what to release its slot with."""
+        replica_id = decision.replica.replica_id
+        sign = "rejected" if isinstance(error, BackendRejected) else ""
+        known_cold = decision.slot.attempt_id in self._cold_attempts
+        self._cold_attempts.discard(decision.slot.attempt_id)
+        if isinstance(error, BackendSlow):
+            taken_s = self.env.clock.monotonic_s() - decision.decided_s
+            self._times.setdefault(replica_id, ReplicaTimes()).observe_slow(taken_s)
+        if result is not None and not known_cold:
+            sign = self._learn(decision, result)
+        seems_cold = bool(sign)
         if seems_cold:
             self.hints.forget(replica_id)
-            log_event(self.env.logger, "replica_seems_cold", replica_id=replica_id)
-        elif result is not None:
+            log_event(
+                self.env.logger, "replica_seems_cold", replica_id=replica_id, sign=sign
+            )
+        elif result is not None and not known_cold:
             self.hints.note(replica_id, decision.call.prefix)
-        self._judge(decision, result, error)
-        self.borrower.release(
-            decision.slot,
-            CallObservation(
-                completed=result is not None,
-                first_token_s=result.first_token_s if result else 0.0,
-                total_s=result.total_s if result else 0.0,
-                seems_cold=seems_cold,
-            ),
+        self._note_on_circuit(decision, result, error)
+        return CallObservation(
+            completed=result is not None,
+            first_token_s=result.first_token_s if result else 0.0,
+            total_s=result.total_s if result else 0.0,
+            seems_cold=seems_cold,
         )
 
     async def run(self) -> None:
@@ -150,7 +257,9 @@
         pool = self.configuration.current.pools.get(call.pool)
         if pool is None:
             raise NoReplicaAvailable(f"unknown pool {call.pool!r}", pool=call.pool)
-        usable, lost, rest = self._usable(call, pool)
+        lost: dict[str, str] = {}
+        replicas, rest = self._usable(call, pool, lost)
+        usable = [self._candidate(call, pool, replica) for replica in replicas]
         if not usable:
             return Ranking([], lost, rest)
         scored = self._policy.rank(call, usable, self.env.random)
@@ -159,27 +268,35 @@
         )
         return Ranking(scored, lost, rest)
 
+    def _usable_ids(self, name: str) -> list[str]:
+        """Return the replicas of a pool that this node may use now."""
+        pool = self.configuration.current.pools.get(name)
+        if pool is None:
+            return []
+        call = StageCall("", "", "", "", name, 0.0)
+        return [replica.replica_id for replica in self._usable(call, pool, {})[0]]
+
     def _usable(
-        self, call: StageCall, pool: Pool
-    ) -> tuple[list[Candidate], dict[str, str], int]:
-        """Return candidates, why others were passed over, and how many were not seen.
+        self, call: StageCall, pool: Pool, lost: dict[str, str]
+    ) -> tuple[list[Replica], int]:
+        """Return the replicas that may get the call, and how many were not looked at.
 
-        A node uses its own part of a large pool, doubled by each call not placed.
-        Looking at all of 144 replicas took 0.9 ms for each decision.
+        Adds to `lost` why others may not. A node uses its own part of a large pool,
+        doubled by each call not placed. Looking at all of 144 replicas took 0.9 ms for
+        each decision.
         """
         size = PART_REPLICAS << min(self._short[call.pool], MAX_DOUBLINGS)
         replicas = self._in_own_order(call.pool, pool)
-        usable: list[Candidate] = []
-        lost: dict[str, str] = {}
+        usable: list[Replica] = []
         for seen, replica in enumerate(replicas):
             if len(usable) == size:
-                return usable, lost, len(replicas) - seen
+                return usable, len(replicas) - seen
             reason = self._why_not(call, replica)
             if reason:
                 lost[replica.replica_id] = reason
             else:
-                usable.append(self._candidate(call, pool, replica))
-        return usable, lost, 0
+                usable.append(replica)
+        return usable, 0
 
     def _in_own_order(self, name: str, pool: Pool) -> tuple[Replica, ...]:
         """Return the replicas in this node's order, which differs between nodes."""
@@ -206,10 +323,15 @@
             return "leaving"
         if replica.replica_id in call.excluded_replicas:
             return "excluded"
-        if not self._circuit(replica).allows(self.env.clock.monotonic_s()):
+        if self._is_failing(replica):
             return "failing"
         return ""
 
+    def _is_failing(self, replica: Replica) -> bool:
+        if not self.env.settings.routing.circuit:
+            return False
+        return not self._circuit(replica).allows(self.env.clock.monotonic_s())
+
     def _candidate(self, call: StageCall, pool: Pool, replica: Replica) -> Candidate:
         times = self._times.get(replica.replica_id)
         return Candidate(
@@ -217,11 +339,16 @@
             view=self.borrower.view(replica.replica_id),
             first_token_s=times.first_token_s if times else 0.0,
             total_s=times.total_s if times else 0.0,
-            prefix_match=self.hints.match(replica.replica_id, call.prefix),
+            prefix_match=self._prefix_match(replica.replica_id, call.prefix),
             is_near=replica.failure_domain == self.env.identity.failure_domain,
             cost_per_busy_s=pool.cost_per_busy_s,
         )
 
+    def _prefix_match(self, replica_id: str, prefix: str) -> float:
+        if not self.env.settings.routing.prefix_hints:
+            return 0.0
+        return self.hints.match(replica_id, prefix)
+
     def _take_first(self, call: StageCall, ranking: Ranking) -> RoutingDecision | None:
         for _, candidate in ranking.scored:
             replica = candidate.replica
@@ -245,19 +372,20 @@
     def _take(self, call: StageCall, replica: Replica) -> Slot | None:
         return self.borrower.take(replica.replica_id, call.attempt_id, call.remaining_s)
 
-    def _learn(self, decision: RoutingDecision, result: BackendResult) -> bool:
-        """Return whether the result shows a cold server; else learn its times."""
+    def _learn(self, decision: RoutingDecision, result: BackendResult) -> str:
+        """Return the sign of a cold server in the result, or learn its times."""
         replica_id = decision.replica.replica_id
         times = self._times.setdefault(replica_id, ReplicaTimes())
-        if times.is_late(result.first_token_s):
-            times.observe_late()
-            return True
-        if lost_prefix(result, decision.prefix_match):
-            return True
+        if times.is_late(result):
+            times.observe_late(result)
+            return "first_token_late"
+        losses = self._losses.setdefault(replica_id, PrefixLosses())
+        if losses.seems_empty(result, decision.prefix_match):
+            return "prefixes_lost"
         times.observe(result)
-        return False
+        return ""
 
-    def _judge(self, decision, result, error) -> None:
+    def _note_on_circuit(self, decision, result, error) -> None:
         circuit = self._circuit(decision.replica)
         if result is not None:
             circuit.note_success()
@@ -277,7 +405,7 @@
             for replica in pool.replicas
         }
         self.hints.keep_only(declared)
-        for known in (self._circuits, self._times):
+        for known in (self._circuits, self._times, self._losses):
             for replica_id in known.keys() - declared:
                 del known[replica_id]
 
