--- a/egretshed/routing/router.py
+++ b/egretshed/routing/router.py
@@ -68,7 +68,6 @@
         self._policy = POLICIES.get(env.settings.routing.policy)()
         self._circuits: dict[str, Circuit] = {}
         self._times: dict[str, ReplicaTimes] = {}
-        self._cold_attempts: set[str] = set()  # Their coldness has been told.
         self._line = WaitingLine()
         self.capacities = PoolCapacities(env, borrower, membership, self._usable_ids)
         self._losses: dict[str, PrefixLosses] = {}
@@ -170,29 +169,6 @@
         """Release the slot and learn from the call; neither given means cancelled."""
         self.release(decision, self.judge(decision, result, error))
 
-    def note_first_token(self, decision: RoutingDecision, waited_s: float) -> None:
-        """Tell at once if a first token came, or has not come, after `waited_s`.
-
-        Otherwise a sign of coldness would be known only when a long call has ended.
-        """
-        replica_id = decision.replica.replica_id
-        attempt_id = decision.slot.attempt_id
-        times = self._times.get(replica_id)
-        if times is None or attempt_id in self._cold_attempts:
-            return
-        if not times.is_wait_late(waited_s):
-            return
-        times.observe_late_wait()
-        self._cold_attempts.add(attempt_id)
-        self.hints.forget(replica_id)
-        self.borrower.note_cold(replica_id)
-        log_event(
-            self.env.logger,
-            "replica_seems_cold",
-            replica_id=replica_id,
-            sign="no_first_token",
-        )
-
     def release(self, decision: RoutingDecision, observation: CallObservation) -> None:
         self.borrower.release(decision.slot, observation)
 
@@ -205,12 +181,10 @@
         """Learn from the call; return what to release its slot with."""
         replica_id = decision.replica.replica_id
         sign = "rejected" if isinstance(error, BackendRejected) else ""
-        known_cold = decision.slot.attempt_id in self._cold_attempts
-        self._cold_attempts.discard(decision.slot.attempt_id)
         if isinstance(error, BackendSlow):
             taken_s = self.env.clock.monotonic_s() - decision.decided_s
             self._times.setdefault(replica_id, ReplicaTimes()).observe_slow(taken_s)
-        if result is not None and not known_cold:
+        if result is not None:
             sign = self._learn(decision, result)
         seems_cold = bool(sign)
         if seems_cold:
@@ -218,7 +192,7 @@
             log_event(
                 self.env.logger, "replica_seems_cold", replica_id=replica_id, sign=sign
             )
-        elif result is not None and not known_cold:
+        elif result is not None:
             self.hints.note(replica_id, decision.call.prefix)
         self._note_on_circuit(decision, result, error)
         return CallObservation(
