--- a/bench/tests/check.feature
+++ b/bench/tests/check.feature
@@ -24,6 +24,7 @@
       | start just before the limit        | the engine call | after_out_s                      | 1.9               |          |
       | start after the server left        | the engine call | after_leaving_s                  | 2.1               | P7       |
       | refusal after work had begun       | the callers     | 0.answers.0.outcome              | "not_run"         | P5       |
+      | refusal by a node not asked before | the callers     | 0.answers.0                      | {"node_id": "entry-2", "request_id": "q1", "outcome": "not_run", "received_s": 11.0} | |
       | booking run at two servers         | the second call | request_id                       | "booking"         | P1 P6    |
       | booking refused by a full server   | the second call | outcome                          | "rejected"        | P1       |
       | node cut requests at its stop      | the exits       | entry-1                          | 8                 | P8       |
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -144,7 +144,8 @@
         self._check_may_start(submission)
         stream = self.store.create(submission.customer_id, submission.request_id)
         stream.body_digest = hash(str(submission.body))
-        stream.earlier_may_have_run = submission.resubmission
+        ran_here = known is not None and known.may_have_run
+        stream.earlier_may_have_run = submission.resubmission or ran_here
         if restarted:
             stream.reset()
         end_s = self.env.clock.monotonic_s() + submission.deadline_s
