Follow the renamed attempt ids in the table of the promise check

Cause: the row that repeats an attempt id named one that no longer exists. Change: it names the second call's id again.

--- a/bench/tests/check.feature
+++ b/bench/tests/check.feature
@@ -15,7 +15,7 @@
       | fault                              | record          | path                             | value             | promises |
       | work for no request                | the engine call | request_id                       | "other"           | P1       |
       | work under another customer        | the engine call | customer_id                      | "other"           | P1       |
-      | attempt sent twice                 | the engine call | attempt_id                       | "a2"              | P1       |
+      | attempt sent twice                 | the engine call | attempt_id                       | "entry-1:1:2"     | P1       |
       | answer without a completed call    | the engine call | outcome                          | "failed"          | P1       |
       | foreign or partial answer          | the callers     | 0.faults                         | ["other token"]   | P4       |
       | caller left without an answer      | the callers     | 0.outcome                        | "no_answer"       | P4       |
