Estimate generations by their tokens and the pool's pace

Cause: in the storm, engines cancelled 55 of 168 calls at their deadline. Estimates were medians over kinds of 32 to 256 tokens, and calls that did not end in time were missing from them. Change: the pace per token is learned also from calls that are given up; admission and the wait for a slot count a request's own tokens at that pace.

--- a/egretshed/admission/entries.py
+++ b/egretshed/admission/entries.py
@@ -8,7 +8,8 @@
 class AdmissionRequest(NamedTuple):
     """A request that asks to run; lower `priority` numbers go first.
 
-    `deadline_s` is the time that remains; `stage_pools` are the pools of its stages.
+    `deadline_s` is the time that remains; `stage_pools` are the pools of its stages;
+    `tokens_s` is the usual time of its tokens, 0 if that is not known.
     """
 
     request_id: str
@@ -17,6 +18,7 @@
     priority: int
     deadline_s: float
     stage_pools: tuple[str, ...]
+    tokens_s: float = 0.0
 
 
 class Entry:
--- a/egretshed/admission/queue.py
+++ b/egretshed/admission/queue.py
@@ -134,10 +134,22 @@
         )
 
     def expected_cost_s(self, request: AdmissionRequest) -> float:
-        """Return the median time of the kind, or of its stages if not yet measured."""
+        """Return the median time of the kind, or of its stages if not yet measured.
+
+        It is at least the time of the request's tokens: requests that did not end in
+        time are missing from the medians.
+        """
+        *before, last = request.stage_pools
+        times = self._stage_times
         if request.kind in self._measured_kinds:
-            return self._kind_times.estimate_s(request.kind)
-        return sum(self._stage_times.estimate_s(pool) for pool in request.stage_pools)
+            usual_s = self._kind_times.estimate_s(request.kind)
+        else:
+            usual_s = sum(times.estimate_s(pool) for pool in request.stage_pools)
+        if not request.tokens_s:
+            return usual_s
+        before_s = sum(times.estimate_s(pool) for pool in before)
+        first_s = times.estimate_first_token_s(last)
+        return max(usual_s, before_s + first_s + request.tokens_s)
 
     def _can_end_in_time(self, entry: Entry) -> bool:
         if self._may_probe():
--- a/egretshed/requests/pace.py
+++ b/egretshed/requests/pace.py
@@ -34,6 +34,10 @@
     def token_s(self, pool: str) -> float | None:
         return self._token_s.get(pool)
 
+    def tokens_take_s(self, pool: str, tokens: int) -> float:
+        """Return the usual time of so many tokens, 0 before any was measured."""
+        return tokens * self._token_s.get(pool, 0.0)
+
 
 class CallPace:
     """Pace of one call that should make at most `expected_tokens` by `end_s`."""
@@ -49,6 +53,12 @@
         self._count += tokens
         self._times_s.extend([now_s] * min(tokens, WINDOW_TOKENS))
 
+    def span(self) -> tuple[int, float]:
+        """Return the last tokens counted and the seconds from their first to last."""
+        if not self._times_s:
+            return 0, 0.0
+        return len(self._times_s), self._times_s[-1] - self._times_s[0]
+
     def token_s(self, now_s: float) -> float | None:
         """Return the present seconds per token, the wait for the next one included."""
         if len(self._times_s) < MIN_TOKENS:
--- a/egretshed/requests/runner.py
+++ b/egretshed/requests/runner.py
@@ -271,6 +271,9 @@
                 priority=submission.priority,
                 deadline_s=submission.deadline_s,
                 stage_pools=tuple(stage.pool for stage in submission.stages),
+                tokens_s=self._paces.tokens_take_s(
+                    submission.stages[-1].pool, self._tokens_wanted(submission)
+                ),
             )
         )
         completed = False
@@ -435,7 +438,7 @@
             priority=run.submission.priority,
         )
         # A slot that comes later would be used in vain.
-        fastest_s = self.services.stage_times.estimate_s(stage.pool, FASTEST_SHARE)
+        fastest_s = self._least_s(stage, state)
         wait_s = max(0.0, remaining_s - fastest_s)
         asked_s = self.env.clock.monotonic_s()
         try:
@@ -453,6 +456,23 @@
                 retry_after_s=after_s + self.env.random.uniform(*REFUSAL_RETURN_S),
             ) from error
 
+    def _tokens_wanted(self, submission: Submission) -> int:
+        pool = self.services.configuration.current.pools[submission.stages[-1].pool]
+        wanted = submission.body.get("max_tokens") or submission.kind.max_tokens
+        return min(wanted, submission.kind.max_tokens) if pool.role == "engine" else 0
+
+    def _least_s(self, stage: Stage, state: PipelineState) -> float:
+        """Return the least time that the call may take.
+
+        The kinds of a pool differ in tokens by a factor of 8, so that the times of the
+        pool's other calls tell little of a long generation.
+        """
+        times = self.services.stage_times
+        tokens_s = self._paces.tokens_take_s(stage.pool, state.tokens())
+        if not tokens_s:
+            return times.estimate_s(stage.pool, FASTEST_SHARE)
+        return times.estimate_first_token_s(stage.pool, FASTEST_SHARE) + tokens_s
+
     async def _attempt(
         self, run: _Run, stage: Stage, state, form, decision: RoutingDecision
     ) -> BackendResult:
@@ -470,9 +490,6 @@
             self.abandoned.add(decision, RequestCancelled())
             raise
         router.observe(decision, result, None)
-        self._paces.observe(
-            stage.pool, result.generated_tokens, result.total_s - result.first_token_s
-        )
         self.services.stage_times.observe(
             stage.pool, result.total_s, result.first_token_s
         )
@@ -526,10 +543,11 @@
             return self._could_move(run, stage, pace)
 
         work = asyncio.ensure_future(backend.call(call, on_tokens))
-        if pace.usual_token_s is None:
-            result = await work
-        else:
+        try:
             result = await within_pace(self.env.clock, work, pace, could_move)
+        finally:
+            # Also of calls that are given up: those are the slowest ones.
+            self._paces.observe(stage.pool, *pace.span())
         require(
             self.env,
             result.attempt_id == run.attempt_id,
--- a/egretshed/requests/stages.py
+++ b/egretshed/requests/stages.py
@@ -23,6 +23,12 @@
     documents: tuple[str, ...] = ()
     result: dict[str, Any] | None = None
 
+    def tokens(self) -> int:
+        """Return the most tokens that the request's generation may make."""
+        return min(
+            self.body.get("max_tokens") or self.kind.max_tokens, self.kind.max_tokens
+        )
+
 
 STAGE_FORMS: Registry[type] = Registry("stage role")
 
@@ -77,10 +83,9 @@
     @staticmethod
     def payload(state: PipelineState, stage: Stage) -> dict[str, Any]:
         prompt = "\n".join((*state.documents, str(state.body.get("prompt", ""))))
-        wanted = state.body.get("max_tokens", state.kind.max_tokens)
         return {
             "prompt": prompt,
-            "max_tokens": min(wanted, state.kind.max_tokens),
+            "max_tokens": state.tokens(),
             "cache_prefix": cache_prefix(state),
             **stage.options,
         }
