--- a/egretshed/callers/tests/steps/caller_steps.py
+++ b/egretshed/callers/tests/steps/caller_steps.py
@@ -10,11 +10,11 @@
 )
 
 from egretshed.callers.events import (
+    KEEP_ALIVE_S,
     StreamLost,
     StreamPeers,
     local_batches,
 )
-from egretshed.callers.handlers import KEEP_ALIVE_S
 from egretshed.configuration.keys import digest_key
 from egretshed.errors import PeerUnavailable
 from egretshed.gen.messages.ttypes import (
