--- a/egretshed/daemon/tests/steps/shutdown_steps.py
+++ b/egretshed/daemon/tests/steps/shutdown_steps.py
@@ -10,6 +10,7 @@
 
 from standins.system import (
     FAST_MEMBERSHIP,
+    FAST_SLOTS,
     System,
 )
 
@@ -33,8 +34,10 @@
 @given("two running nodes that detect a failure after {suspicion_s:g} s")
 def two_patient_nodes(context, suspicion_s):
     membership = {**FAST_MEMBERSHIP, "suspicion_s": suspicion_s}
+    # The settings require a take-over wait beyond the detection bound and a loan.
+    slots = {**FAST_SLOTS, "take_over_wait_s": suspicion_s + 1.0}
     example = ROOT / "examples" / "laurentien"
-    context.system = System(example, nodes=2, membership=membership)
+    context.system = System(example, nodes=2, membership=membership, slots=slots)
     run(context, context.system.__aenter__())
     context.add_cleanup(lambda: run(context, context.system.__aexit__()))
 
