Treat a server that answers no load poll as cold

Cause: promises.feature broke P2 under silent servers and cold again: an engine went silent and cold at once, so neither a report nor a call told, and it had up to 8 calls more than 2 s after it turned cold, with a limit of 2. Change: once a load poll has had no reply for 0.8 s the owner lends the cold slots only. Conclusion: the bound on unknown coldness no longer depends on the server answering.

--- a/egretshed/slots/lending.py
+++ b/egretshed/slots/lending.py
@@ -197,7 +197,7 @@
             loan_id=grant.loan_id,
             slots=grant.slots,
             duration_ms=duration_ms,
-            limit_slots=state.warmth.limit(pool),
+            limit_slots=state.limit(pool, self.env.clock.monotonic_s()),
             in_flight_calls=state.report.in_flight if state.report else 0,
             warm=state.warmth.state == "warm",
             load_age_ms=min(MAX_LOAD_AGE_MS, math.ceil(age_s * 1000)),
@@ -337,7 +337,7 @@
         period_s = self.env.settings.slots.load_report_period_s
         if replica_id in self._polls or now_s - state.polled_s < period_s:
             return
-        state.polled_s = now_s
+        state.note_poll(now_s)
         task = asyncio.create_task(self._poll(state, replica_id))
         self._polls[replica_id] = task
         task.add_done_callback(lambda _: self._polls.pop(replica_id, None))
--- a/egretshed/slots/owned.py
+++ b/egretshed/slots/owned.py
@@ -22,6 +22,8 @@
 from egretshed.slots.warmth import Warmth
 
 DEFAULT_LONGEST_CALL_S = 60.0
+# Beyond the reply time of a server under full load, within the call's timeout of 1 s.
+REPORT_OVERDUE_S = 0.8
 
 
 def longest_call_s(configuration: Configuration) -> float:
@@ -59,13 +61,33 @@
         self.report: LoadReport | None = None
         self.report_seen_s = now_s
         self.polled_s = -float("inf")
+        self.unanswered_s: float | None = None  # Since when polls have no reply.
         self.may_get_work = False
         self.lost: LostOwnership | None = None
         self._foreign: int | None = None
         self._foreign_for_s = 0.0
         self._foreign_until_s = math.inf
 
+    def note_poll(self, now_s: float) -> None:
+        """Note that a load report was asked for."""
+        self.polled_s = now_s
+        if self.unanswered_s is None:
+            self.unanswered_s = now_s
+
+    def limit(self, pool: Pool, now_s: float) -> int:
+        """Return what the server can carry, as far as is known.
+
+        A server that answers no poll may have turned cold meanwhile; no call of such a
+        server would tell before its progress limit.
+        """
+        limit = self.warmth.limit(pool)
+        unanswered_s = self.unanswered_s
+        if unanswered_s is None or now_s - unanswered_s < REPORT_OVERDUE_S:
+            return limit
+        return min(limit, pool.cold_slots)
+
     def note_report(self, report: LoadReport, now_s: float) -> None:
+        self.unanswered_s = None
         self.report = report
         self.report_seen_s = now_s - report.age_s
         self.warmth.note_report(report, now_s)
@@ -98,7 +120,7 @@
         """Return the slots that may be lent now, foreign calls included."""
         if not self.may_get_work or (self.report and self.report.leaving):
             return 0
-        limit = self.warmth.limit(pool)
+        limit = self.limit(pool, now_s)
         lendable = self.window.lendable(limit, now_s, longest_s)
         left = limit - self._unknown_calls(now_s, longest_s)
         return max(0, min(lendable, left))
@@ -131,7 +153,7 @@
             replica_id=replica.replica_id,
             pool=pool_name,
             warmth=self.warmth.state.value,
-            limit=self.warmth.limit(pool),
+            limit=self.limit(pool, now_s),
             lendable=self.amount(pool, now_s, longest_s),
             committed=self.ledger.committed(now_s),
             foreign=self.foreign(pool, now_s, longest_s),
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -197,6 +197,14 @@
       | the load report says that the server leaves |
       | membership is unsettled                     |
 
+  Scenario: A server that answers no load poll counts as cold
+    Guards against a warm limit for a server that turned cold while it was silent.
+    Given 3 nodes that share a warm server
+    When the server answers no load poll for 1.5 s
+    Then the owner's limit is 2
+    When the server answers load polls again for 1 s
+    Then the owner's limit is 6
+
   Scenario: A call longer than the loan allows waits for a loan that does
     Guards against calls that outlive the time for which the owner reserves slots.
     Given 3 nodes that share a warm server
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -583,3 +583,15 @@
     now_s = context.now_s + later
     steady = context.window.is_steady(6, now_s, context.longest_s)
     assert steady == (state == "steady"), steady
+
+
+@when("the server answers no load poll for {seconds:g} s")
+def no_load_reply(context, seconds):
+    context.server.reachable = False
+    run(context, context.clock.advance(seconds))
+
+
+@when("the server answers load polls again for {seconds:g} s")
+def load_replies(context, seconds):
+    context.server.reachable = True
+    run(context, context.clock.advance(seconds))
