Split the request runner by duty

Change: run.py has the state of a request, attempts.py one attempt of a stage, pipeline.py the stages with their retries, runner.py the requests of the node. Measured (behave egretshed/requests/tests, callers/tests/events.feature): 53 scenarios pass. Conclusion: no behaviour changed.

--- a/bench/tests/faults.py
+++ b/bench/tests/faults.py
@@ -16,6 +16,7 @@
 from egretshed.configuration.schema import Configuration
 from egretshed.errors import BackendError
 from egretshed.platform.interface import ABSENT_VERSION
+from egretshed.requests.attempts import Attempts
 from egretshed.requests.runner import RequestRunner
 from egretshed.requests.stream import RequestStream
 from egretshed.retries import decision
@@ -69,11 +70,9 @@
     "late tokens": LATE_TOKENS,
     "late tokens accepted": (
         *LATE_TOKENS,
-        (RequestRunner, "_on_tokens", accept_tokens),
-    ),
-    "attempt ids repeat": (
-        (RequestRunner, "_next_attempt_id", lambda self: "attempt"),
+        (Attempts, "_on_tokens", accept_tokens),
     ),
+    "attempt ids repeat": ((Attempts, "_next_attempt_id", lambda self: "attempt"),),
     "cold limit ignored": ((Warmth, "limit", lambda self, pool: pool.warm_slots),),
     "domain state ignored": (
         (Configuration, "is_in_service", lambda self, replica: True),
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -48,10 +48,8 @@
 from egretshed.peers.network import TcpPeerNetwork
 from egretshed.plans.service import PlanService
 from egretshed.platform.adapters import connect_platform
-from egretshed.requests.runner import (
-    RequestRunner,
-    RunnerServices,
-)
+from egretshed.requests.run import RunnerServices
+from egretshed.requests.runner import RequestRunner
 from egretshed.retries.budgets import RetryBudgets
 from egretshed.retries.stage_times import StageTimes
 from egretshed.routing.router import Router
