Split the peer network by duty

Change: connection.py has frames on one connection, client.py the connection to one peer, network.py the node's side of all of them.

--- a/bench/slots_cost.py
+++ b/bench/slots_cost.py
@@ -30,7 +30,7 @@
     encode,
     key_bytes,
 )
-from egretshed.peers.network import LENGTH_BYTES
+from egretshed.peers.connection import LENGTH_BYTES
 from egretshed.slots.records import CallObservation
 from standins.fake_backends import FakeServer
 from standins.fake_membership import make_configuration
--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -22,8 +22,8 @@
 from egretshed.membership.rejoin import Rejoiner
 from egretshed.membership.view import FleetView
 from egretshed.membership.vm_list import ListedVms
+from egretshed.peers.connection import PeerAddress
 from egretshed.peers.network import (
-    PeerAddress,
     PeerNetwork,
     Sender,
 )
--- a/egretshed/peers/tests/steps/peers_steps.py
+++ b/egretshed/peers/tests/steps/peers_steps.py
@@ -23,10 +23,10 @@
     ProbeAck,
 )
 from egretshed.peers.codec import encode
+from egretshed.peers.connection import write_frame
 from egretshed.peers.network import (
     PeerAddress,
     TcpPeerNetwork,
-    write_frame,
 )
 from egretshed.peers.tests.proxy import Relay
 from standins.clock import ManualClock
