Call members that a node exchanges messages with reachable

Cause: the field's term for such members is reachable; heard was our own word. Change: names, messages' fields and pages; generated code anew.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -52,8 +52,10 @@
         await run.cluster.clock.sleep(REPORT_PERIOD_S)
         sights = run.watcher.latest.values()
         versions = sorted({sight.version for sight in sights})
-        heard = min(sight.heard for sight in sights)
-        run.say(f"nodes: configuration versions {versions}, at least {heard} heard")
+        reachable = min(sight.reachable for sight in sights)
+        run.say(
+            f"nodes: configuration versions {versions}, at least {reachable} reachable"
+        )
 
 
 async def show(run: Run, deployment: Path, seed: int) -> list[RequestRecord]:
--- a/bench/detection.py
+++ b/bench/detection.py
@@ -2,9 +2,9 @@
 
 All nodes run in one process over the in-memory network and a manual clock. The times
 are compared with `MembershipService.detection_bound_s`. `parted` is the time from a cut
-between two regions until no node counts one of the other region as heard, `first dead`
+between two regions until no node counts one of the other region, `first dead`
 the earliest time at which a node took another for dead in that cut, `rejoined` the time
-from the end of the cut until every node hears all.
+from the end of the cut until every node reaches all.
 
 Example::
 
@@ -57,7 +57,7 @@
 
 def any_heard(fleet: Fleet, victims: list[str]) -> bool:
     return any(
-        member is not None and member.is_heard
+        member is not None and member.is_reachable
         for node in fleet.nodes.values()
         for member in map(node.membership.member, victims)
     )
@@ -84,7 +84,7 @@
 
     def is_parted() -> bool:
         nonlocal first_dead_s
-        fewest = min(len(n.membership.heard()) for n in fleet.nodes.values())
+        fewest = min(len(n.membership.reachable()) for n in fleet.nodes.values())
         if fewest < everyone:
             elapsed_s = fleet.clock.monotonic_s() - began_s
             first_dead_s = min(first_dead_s, elapsed_s)
@@ -97,7 +97,7 @@
     rejoined_s = await until(
         fleet,
         lambda: all(
-            len(n.membership.heard()) == everyone for n in fleet.nodes.values()
+            len(n.membership.reachable()) == everyone for n in fleet.nodes.values()
         ),
     )
     return parted_s, first_dead_s, rejoined_s
@@ -105,7 +105,7 @@
 
 def hears_other_region(fleet: Fleet, left: set[str], right: set[str]) -> bool:
     return any(
-        fleet.nodes[name].membership.lending_share(other).heard
+        fleet.nodes[name].membership.lending_share(other).reachable
         for names, other in ((left, REGIONS[1]), (right, REGIONS[0]))
         for name in names
     )
--- a/bench/run.py
+++ b/bench/run.py
@@ -97,7 +97,7 @@
     watching = asyncio.create_task(run.watcher.run())
     try:
         await run.watcher.until_joined(JOIN_LIMIT_S)
-        run.say(f"{nodes} nodes hear one another; they lend in {LENDING_S:g} s")
+        run.say(f"{nodes} nodes reach one another; they lend in {LENDING_S:g} s")
         await cluster.clock.sleep(LENDING_S)
         yield run
     finally:
--- a/bench/watch.py
+++ b/bench/watch.py
@@ -33,7 +33,7 @@
     incarnation: int
     version: int
     domains_out: tuple[str, ...]
-    heard: int
+    reachable: int
     listed: int
     settled: bool
 
@@ -58,7 +58,7 @@
         await asyncio.gather(*(self._look_at(vm) for vm in self.cluster.vms))
 
     async def until_joined(self, limit_s: float) -> None:
-        """Return once every node hears all listed nodes; raise TimeoutError."""
+        """Return once every node reaches all listed nodes; raise TimeoutError."""
         async with asyncio.timeout(limit_s):
             while not self._is_joined():
                 await self.clock.sleep(PERIOD_S)
@@ -66,7 +66,7 @@
     def _is_joined(self) -> bool:
         wanted = len(self.cluster.vms)
         return len(self.latest) == wanted and all(
-            sight.heard == sight.listed == wanted and sight.settled
+            sight.reachable == sight.listed == wanted and sight.settled
             for sight in self.latest.values()
         )
 
@@ -106,7 +106,7 @@
         body["incarnation"],
         body["configuration_version"],
         tuple(body["failure_domains_out"]),
-        body["nodes_heard"],
+        body["nodes_reachable"],
         body["nodes_listed"],
         body["membership_is_settled"],
     )
--- a/egretshed/callers/handlers.py
+++ b/egretshed/callers/handlers.py
@@ -247,7 +247,7 @@
         running = {"outcome": stored.state, "request_id": request_id}
         return stored.outcome or running
     own = services.env.identity.node_id
-    others = [m.node_id for m in services.membership.heard() if m.node_id != own]
+    others = [m.node_id for m in services.membership.reachable() if m.node_id != own]
     return await services.streams.outcome(customer_id, request_id, others)
 
 
--- a/egretshed/cli/commands/show.py
+++ b/egretshed/cli/commands/show.py
@@ -16,7 +16,7 @@
         return ExitStatus.SUCCESS
 
 
-@cappa.command(name="nodes", help="List the entry nodes, listed and heard.")
+@cappa.command(name="nodes", help="List the entry nodes, listed and reachable.")
 @dataclass
 class Nodes:
     async def run(self, session: Session) -> ExitStatus:
--- a/egretshed/configuration/service.py
+++ b/egretshed/configuration/service.py
@@ -265,5 +265,5 @@
 
     def _poll_delay_s(self) -> float:
         period_s = self.env.settings.configuration.poll_period_s
-        fleet_period_s = len(self.membership.heard()) / POLLS_PER_S
+        fleet_period_s = len(self.membership.reachable()) / POLLS_PER_S
         return max(period_s, fleet_period_s) * self.env.random.uniform(0.7, 1.3)
--- a/egretshed/configuration/spread.py
+++ b/egretshed/configuration/spread.py
@@ -145,7 +145,7 @@
 
     def _others(self) -> list[str]:
         own_id = self.env.identity.node_id
-        return [m.node_id for m in self.membership.heard() if m.node_id != own_id]
+        return [m.node_id for m in self.membership.reachable() if m.node_id != own_id]
 
 
 def _within(deltas: list[tuple[int, bytes]], limit_bytes: int) -> list[Any]:
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -158,7 +158,9 @@
 
         async def outcomes(request_id: str) -> list[dict[str, Any]]:
             own = self.env.identity.node_id
-            others = [m.node_id for m in self.membership.heard() if m.node_id != own]
+            others = [
+                m.node_id for m in self.membership.reachable() if m.node_id != own
+            ]
             return await self.streams.outcomes_of_any_customer(request_id, others)
 
         operators = OperatorServices(
@@ -181,10 +183,12 @@
         )
 
     def _is_alive(self, node_id: str, incarnation: int) -> bool:
-        """Return whether another process is heard under this incarnation."""
+        """Return whether another process is reachable under this incarnation."""
         member = self.membership.member(node_id)
         return (
-            member is not None and member.is_heard and member.incarnation == incarnation
+            member is not None
+            and member.is_reachable
+            and member.incarnation == incarnation
         )
 
     def _load_permille(self) -> int:
@@ -297,7 +301,7 @@
 def _leave_s(membership: MembershipSettings) -> float:
     """Return how long a leaving node is still connected to.
 
-    A peer may hand the address out until it hears of the leave, at the latest when it
+    A peer may hand the address out until it learns of the leave, at the latest when it
     would have detected a failure, and callers keep the answer for `address_keep_s`.
     """
     hears_s = (
--- a/egretshed/daemon/tests/steps/promise_steps.py
+++ b/egretshed/daemon/tests/steps/promise_steps.py
@@ -135,7 +135,7 @@
         return bodies
 
     async def until_healthy(self) -> None:
-        """Return once every node hears all others and owners lend again."""
+        """Return once every node reaches all others and owners lend again."""
         await self.watcher.until_joined(LIMIT_S)
         await asyncio.sleep(QUICK_SETTINGS["slots"]["take_over_wait_s"] + 0.5)
 
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -2120,7 +2120,7 @@
      - warmth
      - foreign_calls
      - foreign_for_ms
-     - heard
+     - reachable
      - listed
      - rounds_up
 
@@ -2132,19 +2132,19 @@
         'warmth',
         'foreign_calls',
         'foreign_for_ms',
-        'heard',
+        'reachable',
         'listed',
         'rounds_up',
     )
 
 
-    def __init__(self, replica_id=None, loans=None, warmth=None, foreign_calls=None, foreign_for_ms=None, heard=None, listed=None, rounds_up=None,):
+    def __init__(self, replica_id=None, loans=None, warmth=None, foreign_calls=None, foreign_for_ms=None, reachable=None, listed=None, rounds_up=None,):
         self.replica_id = replica_id
         self.loans = loans
         self.warmth = warmth
         self.foreign_calls = foreign_calls
         self.foreign_for_ms = foreign_for_ms
-        self.heard = heard
+        self.reachable = reachable
         self.listed = listed
         self.rounds_up = rounds_up
 
@@ -2191,7 +2191,7 @@
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I32:
-                    self.heard = iprot.readI32()
+                    self.reachable = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
@@ -2237,9 +2237,9 @@
             oprot.writeFieldBegin('foreign_for_ms', TType.I32, 5)
             oprot.writeI32(self.foreign_for_ms)
             oprot.writeFieldEnd()
-        if self.heard is not None:
-            oprot.writeFieldBegin('heard', TType.I32, 6)
-            oprot.writeI32(self.heard)
+        if self.reachable is not None:
+            oprot.writeFieldBegin('reachable', TType.I32, 6)
+            oprot.writeI32(self.reachable)
             oprot.writeFieldEnd()
         if self.listed is not None:
             oprot.writeFieldBegin('listed', TType.I32, 7)
@@ -2263,8 +2263,8 @@
             raise TProtocolException(message='Required field foreign_calls is unset!')
         if self.foreign_for_ms is None:
             raise TProtocolException(message='Required field foreign_for_ms is unset!')
-        if self.heard is None:
-            raise TProtocolException(message='Required field heard is unset!')
+        if self.reachable is None:
+            raise TProtocolException(message='Required field reachable is unset!')
         if self.listed is None:
             raise TProtocolException(message='Required field listed is unset!')
         if self.rounds_up is None:
@@ -3650,7 +3650,7 @@
     (3, TType.STRUCT, 'warmth', [HandedWarmth, None], None, ),  # 3
     (4, TType.I32, 'foreign_calls', None, None, ),  # 4
     (5, TType.I32, 'foreign_for_ms', None, None, ),  # 5
-    (6, TType.I32, 'heard', None, None, ),  # 6
+    (6, TType.I32, 'reachable', None, None, ),  # 6
     (7, TType.I32, 'listed', None, None, ),  # 7
     (8, TType.BOOL, 'rounds_up', None, None, ),  # 8
 )
--- a/egretshed/membership/addresses.py
+++ b/egretshed/membership/addresses.py
@@ -89,7 +89,7 @@
             return
         self._built_s = now_s
         self._built_for = revision
-        self._members = [m for m in self.view.heard() if self._may_hand_out(m)]
+        self._members = [m for m in self.view.reachable() if self._may_hand_out(m)]
         self._weights = [self._weight(member) for member in self._members]
         self._cumulative = list(accumulate(self._weights))
 
--- a/egretshed/membership/members.py
+++ b/egretshed/membership/members.py
@@ -40,7 +40,7 @@
     load_permille: int = 0
 
     @property
-    def is_heard(self) -> bool:
+    def is_reachable(self) -> bool:
         return self.status != MemberStatus.DEAD
 
     def age_key(self) -> tuple[int, int, int]:
@@ -100,7 +100,7 @@
 def merged(known: Member, reported: Member) -> Member | None:
     """Return the record after a report, or None if the report is not newer.
 
-    A reported death becomes a suspicion where the member is still heard: after a
+    A reported death becomes a suspicion where the member is still reachable: after a
     partition heals, each side reports the other's nodes dead, and they must get the
     time to refute that.
     """
@@ -108,7 +108,7 @@
         return None
     if reported.incarnation > known.incarnation:
         return reported
-    if reported.status == MemberStatus.DEAD and known.is_heard:
+    if reported.status == MemberStatus.DEAD and known.is_reachable:
         reported = reported._replace(status=MemberStatus.SUSPECT)
         if reported.age_key() <= known.age_key():
             return None
--- a/egretshed/membership/ownership.py
+++ b/egretshed/membership/ownership.py
@@ -17,7 +17,7 @@
 class LendingShare(NamedTuple):
     """Share of a replica's limit that its owner may lend, by nodes of its region."""
 
-    heard: int
+    reachable: int
     listed: int
     rounds_up: bool
 
@@ -25,12 +25,12 @@
         """Return how many of `limit` slots may be lent."""
         if self.listed == 0:
             return 0
-        share = limit * self.heard / self.listed
+        share = limit * self.reachable / self.listed
         return math.ceil(share) if self.rounds_up else math.floor(share)
 
 
 class Ownership:
-    """Rendezvous hashing over the nodes that are heard, listed and not leaving.
+    """Rendezvous hashing over the nodes that are reachable, listed and not leaving.
 
     Results are kept until the view or the list changes.
     """
@@ -65,7 +65,7 @@
     def lending_share(self, region: str) -> LendingShare:
         """Count the region's listed nodes, or all listed ones if it has none.
 
-        Suspected nodes count as not heard here: a node that was cut off must lend less
+        Suspected nodes do not count here: a node that was cut off must lend less
         before another owner takes over, which happens only after the suspicion time.
         """
         self._refresh()
@@ -77,11 +77,13 @@
         entries = self.vms.entries.values()
         listed = [vm.node_id for vm in entries if vm.region == region]
         listed = listed or [vm.node_id for vm in entries]
-        heard = [node_id for node_id in listed if self._is_heard(node_id)]
-        doubled = 2 * len(heard)
-        has_tie_breaker = doubled == len(listed) and min(listed, default="") in heard
+        reachable = [node_id for node_id in listed if self._is_heard(node_id)]
+        doubled = 2 * len(reachable)
+        has_tie_breaker = (
+            doubled == len(listed) and min(listed, default="") in reachable
+        )
         return LendingShare(
-            len(heard), len(listed), doubled > len(listed) or has_tie_breaker
+            len(reachable), len(listed), doubled > len(listed) or has_tie_breaker
         )
 
     def _is_heard(self, node_id: str) -> bool:
@@ -98,7 +100,12 @@
         self._candidates.clear()
         for node_id, vm in self.vms.entries.items():
             member = self.view.members.get(node_id)
-            if member is None or not member.is_heard or member.leaving or vm.leaving:
+            if (
+                member is None
+                or not member.is_reachable
+                or member.leaving
+                or vm.leaving
+            ):
                 continue
             domain = f"domain/{member.region}/{member.failure_domain}"
             for group in (domain, f"region/{member.region}", "all"):
--- a/egretshed/membership/pause.py
+++ b/egretshed/membership/pause.py
@@ -12,7 +12,7 @@
     """Settled means: not paused lately, and probes succeeded for a period since.
 
     A node with nobody to probe settles after `bound_s`, the time in which it would have
-    heard of any other node.
+    reachable of any other node.
     """
 
     def __init__(
--- a/egretshed/membership/probes.py
+++ b/egretshed/membership/probes.py
@@ -161,14 +161,14 @@
 
     def _others(self) -> list[str]:
         own_id = self.view.own_id
-        return [m.node_id for m in self.view.heard() if m.node_id != own_id]
+        return [m.node_id for m in self.view.reachable() if m.node_id != own_id]
 
     def _next_target(self) -> str | None:
-        """Return the next member of a shuffled round over those that are heard."""
+        """Return the next member of a shuffled round over those that are reachable."""
         for refilled in (False, True):
             while self._round:
                 member = self.view.members.get(self._round.pop())
-                if member is not None and member.is_heard:
+                if member is not None and member.is_reachable:
                     return member.node_id
             if not refilled:
                 self._round = self._others()
--- a/egretshed/membership/rejoin.py
+++ b/egretshed/membership/rejoin.py
@@ -62,7 +62,9 @@
 
     async def _sync_if_due(self) -> None:
         now_s = self.env.clock.monotonic_s()
-        others = [m.node_id for m in self.view.heard() if m.node_id != self.view.own_id]
+        others = [
+            m.node_id for m in self.view.reachable() if m.node_id != self.view.own_id
+        ]
         if now_s < self._next_sync_s or not others:
             return
         period_s = self.env.settings.membership.sync_period_s
@@ -111,13 +113,13 @@
     def _may_share(self, node_id: str) -> bool:
         # A dead node that is no longer listed would otherwise be passed round for ever.
         member = self.view.members[node_id]
-        return member.is_heard or self.vms.is_listed(node_id)
+        return member.is_reachable or self.vms.is_listed(node_id)
 
     def _silent(self) -> list[str]:
-        """Return listed nodes that this node does not hear."""
+        """Return listed nodes that this node does not reach."""
         members = self.view.members
         return [
             node_id
             for node_id in self.vms.entries
-            if node_id not in members or not members[node_id].is_heard
+            if node_id not in members or not members[node_id].is_reachable
         ]
--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -129,11 +129,11 @@
     def resolve(self, node_id: str) -> PeerAddress | None:
         """Return where `node_id` listens for peers.
 
-        The list is preferred for a node that is not heard, since a replacement VM may
+        The list is preferred for an unreachable node, since a replacement VM may
         have another address.
         """
         member = self._view.members.get(node_id)
-        if member is not None and member.is_heard:
+        if member is not None and member.is_reachable:
             return PeerAddress(member.host, member.peer_port)
         listed = self._vms.entries.get(node_id)
         if listed is not None:
@@ -148,9 +148,9 @@
     def member(self, node_id: str) -> Member | None:
         return self._view.members.get(node_id)
 
-    def heard(self) -> list[Member]:
+    def reachable(self) -> list[Member]:
         """Return all members that are not dead, this node included."""
-        return self._view.heard()
+        return self._view.reachable()
 
     def listed(self) -> list[ListedVm]:
         """Return the entry nodes of the VM list as last read."""
--- a/egretshed/membership/tests/fleet.py
+++ b/egretshed/membership/tests/fleet.py
@@ -92,8 +92,8 @@
         """Let a node's clock jump, as if its process had not run."""
         self.nodes[node_id].env.clock.offset_s += seconds
 
-    def heard_by(self, node_id: str) -> set[str]:
-        return {m.node_id for m in self.nodes[node_id].membership.heard()}
+    def reachable_by(self, node_id: str) -> set[str]:
+        return {m.node_id for m in self.nodes[node_id].membership.reachable()}
 
     async def _run(self, membership: MembershipService) -> None:
         await membership.start()
--- a/egretshed/membership/tests/fuzz_membership.py
+++ b/egretshed/membership/tests/fuzz_membership.py
@@ -1,6 +1,6 @@
 """Random crashes, restarts, cuts, pauses and list outages against a small fleet.
 
-Oracle: after all faults end and a bound, every running node hears exactly the running
+Oracle: after all faults end and a bound, every running node reaches exactly the running
 nodes and is settled.
 """
 
@@ -91,8 +91,10 @@
         self.run(self.fleet.clock.advance(HEAL_BOUND_S))
         running = set(self.fleet.nodes)
         for node_id, node in self.fleet.nodes.items():
-            heard = self.fleet.heard_by(node_id)
-            assert heard == running, f"{node_id} hears {heard}, running {running}"
+            reachable = self.fleet.reachable_by(node_id)
+            assert reachable == running, (
+                f"{node_id} reaches {reachable}, running {running}"
+            )
             assert node.membership.is_settled(), f"{node_id} is not settled"
             given = {a.node_id for a in node.membership.addresses(9)}
             assert given == running - self.left, f"{node_id} hands out {given}"
--- a/egretshed/membership/tests/membership.feature
+++ b/egretshed/membership/tests/membership.feature
@@ -5,10 +5,10 @@
     Given a settled fleet of 6 nodes in 2 regions
     When <fault>
     And <down_s> s pass
-    Then every running node hears <during> nodes
+    Then every running node reaches <during> nodes
     When all faults end
     And 15 s pass
-    Then every running node hears <after> nodes
+    Then every running node reaches <after> nodes
     And every running node is settled
 
     Examples:
@@ -71,7 +71,7 @@
     Given a settled fleet of <nodes> nodes in 2 regions
     When entry-<number> crashes
     And the detection bound of entry-1 passes
-    Then no running node hears entry-<number>
+    Then no running node reaches entry-<number>
 
     Examples:
       | nodes | number |
--- a/egretshed/membership/tests/steps/membership_steps.py
+++ b/egretshed/membership/tests/steps/membership_steps.py
@@ -69,7 +69,7 @@
     run(context, context.fleet.clock.advance(6))
     assert all(n.membership.is_settled() for n in context.fleet.nodes.values())
     everybody = set(context.fleet.places)
-    assert all(context.fleet.heard_by(n) == everybody for n in context.fleet.nodes)
+    assert all(context.fleet.reachable_by(n) == everybody for n in context.fleet.nodes)
 
 
 @when("the detection bound of {node_id} passes")
@@ -78,10 +78,12 @@
     run(context, context.fleet.clock.advance(bound_s))
 
 
-@then("no running node hears {node_id}")
+@then("no running node reaches {node_id}")
 def not_heard(context, node_id):
-    hearing = [n for n in context.fleet.nodes if node_id in context.fleet.heard_by(n)]
-    assert not hearing, hearing
+    reaching = [
+        n for n in context.fleet.nodes if node_id in context.fleet.reachable_by(n)
+    ]
+    assert not reaching, reaching
 
 
 @step("the VM list is down")
@@ -196,10 +198,10 @@
     context.answers = [[a.node_id for a in answer] for answer in answers]
 
 
-@then("every running node hears {count:d} nodes")
-def hears(context, count):
-    heard = {n: len(context.fleet.heard_by(n)) for n in context.fleet.nodes}
-    assert set(heard.values()) == {count}, heard
+@then("every running node reaches {count:d} nodes")
+def reaches(context, count):
+    reachable = {n: len(context.fleet.reachable_by(n)) for n in context.fleet.nodes}
+    assert set(reachable.values()) == {count}, reachable
 
 
 @then("every running node is settled")
@@ -257,7 +259,7 @@
     ]
     lent = sum(max(share.slots(limit) for share in side) for side in shares)
     assert 0 < lent <= most, shares
-    assert math.isclose(sum(s[0].heard / s[0].listed for s in shares), 1), shares
+    assert math.isclose(sum(s[0].reachable / s[0].listed for s in shares), 1), shares
 
 
 @then("no probe carried more than {count:d} updates")
--- a/egretshed/membership/view.py
+++ b/egretshed/membership/view.py
@@ -53,8 +53,8 @@
     def own(self) -> Member:
         return self.members[self.own_id]
 
-    def heard(self) -> list[Member]:
-        return [member for member in self.members.values() if member.is_heard]
+    def reachable(self) -> list[Member]:
+        return [member for member in self.members.values() if member.is_reachable]
 
     def dead(self) -> Iterable[str]:
         return self._dead_s.keys()
@@ -75,7 +75,7 @@
             return
         known = self.members.get(reported.node_id)
         if known is None:
-            if reported.is_heard or self.is_listed(reported.node_id):
+            if reported.is_reachable or self.is_listed(reported.node_id):
                 self._store(reported, spread)
             return
         member = merged(known, reported)
--- a/egretshed/operators/views.py
+++ b/egretshed/operators/views.py
@@ -20,7 +20,7 @@
         "configuration_version": configuration.current.version,
         "configuration_is_fresh": configuration.is_fresh(),
         "membership_is_settled": services.membership.is_settled(),
-        "nodes_heard": len(services.membership.heard()),
+        "nodes_reachable": len(services.membership.reachable()),
         "nodes_listed": len(services.membership.listed()),
         "failure_domains_out": sorted(
             name
@@ -32,21 +32,21 @@
 
 
 def node_views(services: Any) -> list[dict[str, Any]]:
-    """Return heard and listed nodes; the state is that of this node's view."""
+    """Return reachable and listed nodes; the state is that of this node's view."""
     listed = {vm.node_id: vm for vm in services.membership.listed()}
-    heard = {member.node_id: member for member in services.membership.heard()}
+    reachable = {member.node_id: member for member in services.membership.reachable()}
     views = []
-    for node_id in sorted({*listed, *heard}):
-        node = heard.get(node_id) or listed[node_id]
-        status = getattr(heard.get(node_id), "status", None)
+    for node_id in sorted({*listed, *reachable}):
+        node = reachable.get(node_id) or listed[node_id]
+        status = getattr(reachable.get(node_id), "status", None)
         views.append(
             {
                 "node_id": node_id,
                 "failure_domain": getattr(node, "failure_domain", ""),
                 "region": getattr(node, "region", ""),
                 "listed": node_id in listed,
-                "heard": node_id in heard,
-                "status": getattr(status, "name", str(status or "not heard")),
+                "reachable": node_id in reachable,
+                "status": getattr(status, "name", str(status or "not reachable")),
             }
         )
     return views
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -145,7 +145,7 @@
   3: required HandedWarmth warmth,
   4: required i32 foreign_calls,
   5: required i32 foreign_for_ms,
-  6: required i32 heard,           // the share by which the earlier owner lent
+  6: required i32 reachable,           // the share by which the earlier owner lent
   7: required i32 listed,
   8: required bool rounds_up,
 }
--- a/egretshed/plans/actions.py
+++ b/egretshed/plans/actions.py
@@ -212,7 +212,7 @@
 async def leave_node(context: StepContext, plan: Plan, step: Step) -> StepResult:
     """The node reads its order in the table itself; wait until it has left."""
     node_id = step.arguments["node_id"]
-    for member in context.membership.heard():
+    for member in context.membership.reachable():
         if member.node_id == node_id and not has_left(member):
             return StepResult("wait", f"{node_id} is still in service")
     return StepResult("done", f"{node_id} has left")
--- a/egretshed/plans/capacity.py
+++ b/egretshed/plans/capacity.py
@@ -51,9 +51,9 @@
     ids = [replica.replica_id for replica in pool.replicas]
     reports = await asyncio.gather(*(read_load(env, backends, id_) for id_ in ids))
     by_id = dict(zip(ids, reports))
-    heard = [report for report in reports if report is not None]
+    reachable = [report for report in reports if report is not None]
     return PoolLoad(
-        calls=sum(report.in_flight + report.queued for report in heard),
+        calls=sum(report.in_flight + report.queued for report in reachable),
         warm=frozenset(id_ for id_, report in by_id.items() if report and report.warm),
         silent=tuple(id_ for id_, report in by_id.items() if report is None),
     )
--- a/egretshed/plans/domain_intents.py
+++ b/egretshed/plans/domain_intents.py
@@ -116,12 +116,12 @@
 async def drain_node(context: PlanningContext, arguments: NodeArguments) -> Draft:
     node_id = arguments.node_id
     if node_id not in context.node_ids:
-        raise NotFound(f"node {node_id!r} is not heard")
+        raise NotFound(f"node {node_id!r} is not reachable")
     steps = StepList(context.objects)
     steps.add(
         "leave_node",
         f"Node {node_id} leaves: its address is no longer given to callers",
-        "the node is heard by the executor",
+        "the node is reachable by the executor",
         node_id=node_id,
     )
     keep_s = context.env.settings.membership.address_keep_s
--- a/egretshed/plans/service.py
+++ b/egretshed/plans/service.py
@@ -165,7 +165,7 @@
             configuration=self.configuration.current,
             objects=self.configuration.objects(),
             weights=self.platform.weights,
-            node_ids=tuple(member.node_id for member in self.membership.heard()),
+            node_ids=tuple(member.node_id for member in self.membership.reachable()),
         )
 
     async def _plan(
--- a/egretshed/plans/tests/fakes.py
+++ b/egretshed/plans/tests/fakes.py
@@ -286,7 +286,7 @@
 
     # Membership and backend directory, as far as plans use them.
 
-    def heard(self) -> list[Member]:
+    def reachable(self) -> list[Member]:
         nodes = self.cluster.nodes
         left = self.cluster.left
         return [
--- a/egretshed/routing/capacity.py
+++ b/egretshed/routing/capacity.py
@@ -57,7 +57,7 @@
         capacity = self._of(pool)
         if not capacity.limit:
             return None
-        nodes = max(1, len(self.membership.heard()))
+        nodes = max(1, len(self.membership.reachable()))
         return max(capacity.slots, capacity.limit // nodes)
 
     def lends_after_s(self, pool: str) -> float:
--- a/egretshed/slots/handover.py
+++ b/egretshed/slots/handover.py
@@ -103,7 +103,7 @@
             warmth=state.warmth.handed(now_s),
             foreign_calls=state.lost.foreign,
             foreign_for_ms=_ms(state.lost.foreign_until_s - now_s),
-            heard=share.heard,
+            reachable=share.reachable,
             listed=share.listed,
             rounds_up=share.rounds_up,
         )
@@ -156,7 +156,7 @@
                 loan.sequence,
             )
         state.warmth.continue_from(ledger.warmth, now_s)
-        share = LendingShare(ledger.heard, ledger.listed, ledger.rounds_up)
+        share = LendingShare(ledger.reachable, ledger.listed, ledger.rounds_up)
         foreign_for_s = ledger.foreign_for_ms / 1000
         state.continue_from(ledger.foreign_calls, foreign_for_s, share, now_s)
         self.env.metrics.counter(
--- a/egretshed/slots/share.py
+++ b/egretshed/slots/share.py
@@ -1,4 +1,4 @@
-"""How much of a limit an owner may lend, given whom it hears and since when."""
+"""How much of a limit an owner may lend, given whom it reaches and since when."""
 
 from collections import deque
 from typing import (
@@ -10,21 +10,21 @@
 class Share(Protocol):
     """`membership.lending_share`: counts of entry nodes and the rounding side."""
 
-    heard: int
+    reachable: int
     listed: int
     rounds_up: bool
 
 
 def scaled(limit: int, share: Share | None) -> int:
-    """Return `limit * heard / listed` in slots, rounded as the share says.
+    """Return `limit * reachable / listed` in slots, rounded as the share says.
 
     Amounts lent in disjoint partitions sum to at most `limit`, since at most one of
     them rounds up.
     """
     if share is None or share.listed <= 0:
         return 0
-    heard = min(share.heard, share.listed)
-    whole, rest = divmod(limit * heard, share.listed)
+    reachable = min(share.reachable, share.listed)
+    whole, rest = divmod(limit * reachable, share.listed)
     return whole + (1 if rest and share.rounds_up else 0)
 
 
--- a/egretshed/slots/tests/fuzz_slots.py
+++ b/egretshed/slots/tests/fuzz_slots.py
@@ -118,11 +118,11 @@
         """Cut the network; each node's view follows within the detection bound."""
         self.groups_settled_s = self.clock.monotonic_s() + DETECTION_S + 0.01
         for index, (name, node) in enumerate(self.nodes.items()):
-            heard = next(group for group in groups if name in group)
+            reachable = next(group for group in groups if name in group)
             self.later(
                 delays[index],
-                lambda node=node, heard=heard: setattr(
-                    node.membership, "heard_ids", set(heard)
+                lambda node=node, reachable=reachable: setattr(
+                    node.membership, "reachable_ids", set(reachable)
                 ),
             )
 
@@ -173,13 +173,13 @@
     def node_pauses(self, name, pause_s, delays, noticed_s, settled_s):
         """The others drop the node if the pause is long; it notices on resuming."""
         node = self.nodes[name]
-        if node.membership.heard_ids != set(IDS):
+        if node.membership.reachable_ids != set(IDS):
             return
         self.alone.add(name)
         node.pause()
         if pause_s > DETECTION_S:
             self.set_groups([set(IDS) - {name}, set(IDS)], delays)
-            node.membership.heard_ids = set(IDS)
+            node.membership.reachable_ids = set(IDS)
         self.later(pause_s, lambda: self.resume(node, delays, noticed_s, settled_s))
         self.run(pause_s + 1)
 
--- a/egretshed/slots/tests/slots.feature
+++ b/egretshed/slots/tests/slots.feature
@@ -13,15 +13,15 @@
       | a share of slots that do not exist | -2   | a=1 b=1     | 0    | a=0 b=0     |
 
   Scenario Outline: Scaling guards against <failure>
-    When an owner hears <heard> of <listed> nodes, rounding up: <up>
+    When an owner reaches <reachable> of <listed> nodes, rounding up: <up>
     Then it lends <amount> of a limit of <limit>
 
     Examples:
-      | failure                              | heard | listed | up  | limit | amount |
+      | failure                              | reachable | listed | up  | limit | amount |
       | a partition lending the whole limit  | 4     | 7      | yes | 2     | 2      |
       | the other side lending as well       | 3     | 7      | no  | 2     | 0      |
       | both halves rounding up              | 2     | 4      | no  | 3     | 1      |
-      | a slot lost with all nodes heard     | 7     | 7      | yes | 2     | 2      |
+      | a slot lost with all nodes reachable     | 7     | 7      | yes | 2     | 2      |
       | a stale list giving more than all    | 9     | 7      | yes | 2     | 2      |
       | lending without any VM list          | 3     | 0      | yes | 2     | 0      |
 
@@ -247,7 +247,7 @@
       | a pause after it stopped to lend          | 0     | it pauses before it answers  | 3       | 0         | 0    |
       | a pause between question and answer       | 0     | the new owner was interrupted | 3      | 0         | 0    |
 
-  Scenario: Slots of a borrower that the new owner cannot hear are not lent again
+  Scenario: Slots of a borrower that the new owner cannot reach are not lent again
     Guards against a ledger that is taken over without its loans.
     Given 3 nodes that share a warm server
     And 8 s pass
--- a/egretshed/slots/tests/steps/slots_steps.py
+++ b/egretshed/slots/tests/steps/slots_steps.py
@@ -50,9 +50,9 @@
     assert context.parts == parse_counts(parts), context.parts
 
 
-@when("an owner hears {heard:d} of {listed:d} nodes, rounding up: {up}")
-def hears(context, heard, listed, up):
-    context.share = FakeShare(heard, listed, up == "yes")
+@when("an owner reaches {reachable:d} of {listed:d} nodes, rounding up: {up}")
+def reaches(context, reachable, listed, up):
+    context.share = FakeShare(reachable, listed, up == "yes")
 
 
 @then("it lends {amount:d} of a limit of {limit:d}")
@@ -69,8 +69,8 @@
 @when("its share is {first} then {second} after {seconds:d} s")
 def share_changes(context, first, second, seconds):
     for now_s, text in ((0.0, first), (seconds, first), (seconds, second)):
-        heard, listed = map(int, text.split("/"))
-        share = FakeShare(heard, listed, True) if heard else None
+        reachable, listed = map(int, text.split("/"))
+        share = FakeShare(reachable, listed, True) if reachable else None
         context.window.record(now_s, share)
     context.now_s = seconds
 
@@ -277,7 +277,7 @@
     context.network.detach(context.owner.node_id)
     alive = {node.node_id for node in context.nodes} - {context.owner.node_id}
     for node in context.nodes:
-        node.membership.heard_ids = alive
+        node.membership.reachable_ids = alive
         node.membership.listed_ids = sorted(alive)
     run(context, context.clock.advance(0))
 
@@ -574,8 +574,8 @@
 
 @when("it goes on from an owner with the share {share}")
 def goes_on(context, share):
-    heard, listed = map(int, share.split("/"))
-    context.window.continue_from(FakeShare(heard, listed, True), context.now_s)
+    reachable, listed = map(int, share.split("/"))
+    context.window.continue_from(FakeShare(reachable, listed, True), context.now_s)
 
 
 @then("after {later:g} s its share is {state}")
--- a/standins/fake_membership.py
+++ b/standins/fake_membership.py
@@ -11,7 +11,7 @@
 
 
 class FakeShare(NamedTuple):
-    heard: int
+    reachable: int
     listed: int
     rounds_up: bool
 
@@ -22,23 +22,25 @@
     def __init__(self, node_id: str, listed: list[str]):
         self.node_id = node_id
         self.listed_ids = sorted(listed)
-        self.heard_ids = set(listed)
+        self.reachable_ids = set(listed)
         self.settled = True
         self.leaving: set[str] = set()
         self.bound_s = 0.0
-        self.departing: set[str] = set()  # Nodes that leave: heard, but own nothing.
+        self.departing: set[str] = (
+            set()
+        )  # Nodes that leave: reachable, but own nothing.
         self._owners: dict[tuple[str, frozenset[str]], str] = {}
 
     @property
     def revision(self) -> tuple[frozenset[str], frozenset[str]]:
-        return frozenset(self.heard_ids), frozenset(self.departing)
+        return frozenset(self.reachable_ids), frozenset(self.departing)
 
     def is_settled(self) -> bool:
         return self.settled
 
     def owner_of(self, replica: Replica, region: str) -> str | None:
-        owners = frozenset(self.heard_ids - self.departing)
-        key = (replica.replica_id, owners or frozenset(self.heard_ids))
+        owners = frozenset(self.reachable_ids - self.departing)
+        key = (replica.replica_id, owners or frozenset(self.reachable_ids))
         if key not in self._owners:
             self._owners[key] = max(
                 key[1],
@@ -47,10 +49,10 @@
         return self._owners[key]
 
     def lending_share(self, region: str) -> FakeShare:
-        heard, listed = len(self.heard_ids), len(self.listed_ids)
-        has_first = self.listed_ids[0] in self.heard_ids
-        rounds_up = 2 * heard > listed or (2 * heard == listed and has_first)
-        return FakeShare(heard, listed, rounds_up)
+        reachable, listed = len(self.reachable_ids), len(self.listed_ids)
+        has_first = self.listed_ids[0] in self.reachable_ids
+        rounds_up = 2 * reachable > listed or (2 * reachable == listed and has_first)
+        return FakeShare(reachable, listed, rounds_up)
 
     def detection_bound_s(self) -> float:
         return self.bound_s
