--- a/egretshed/routing/policies.py
+++ b/egretshed/routing/policies.py
@@ -93,7 +93,12 @@
 
     def rank(self, call, candidates, random):
         drawn = random.sample(candidates, len(candidates))
-        scored = [(self.score_s(candidate), candidate) for candidate in drawn]
+        scores_s = [self.score_s(candidate) for candidate in drawn]
+        best_s = min(scores_s)
+        scored = [
+            (best_s if _is_warming(candidate) else score_s, candidate)
+            for score_s, candidate in zip(scores_s, drawn)
+        ]
         return sorted(scored, key=lambda item: item[0])
 
     def score_s(self, candidate: Candidate) -> float:
@@ -103,3 +108,13 @@
         distance_s = 0.0 if candidate.is_near else FAR_DELAY_S
         cost = candidate.cost_per_busy_s * candidate.total_s
         return first_token_s + distance_s + cost * COST_WEIGHT_S
+
+
+def _is_warming(candidate: Candidate) -> bool:
+    """Whether a call is worth more there than its delay, since it warms the server up.
+
+    Ranked by its times, a server that had been cold got no calls while others had slots,
+    so it neither became warm nor were its times measured again.
+    """
+    view = candidate.view
+    return view.free > 0 and not view.warm
