Test that a warming server gets calls

Change: a scenario with a server that was slow and is warming. Measured (behave egretshed/routing/tests): 60 scenarios pass; without the rule the new one fails, 0 of 90 calls went to the warming server. Conclusion: kept. A warm server that was slow once is avoided in the same way and is not covered by the rule.

--- a/egretshed/routing/policies.py
+++ b/egretshed/routing/policies.py
@@ -113,7 +113,7 @@
 def _is_warming(candidate: Candidate) -> bool:
     """Whether a call is worth more there than its delay, since it warms the server up.
 
-    Ranked by its times, a server that had been cold got no calls while others had slots,
+    Ranked by its times, a server that was cold got no calls while others had slots,
     so it neither became warm nor were its times measured again.
     """
     view = candidate.view
--- a/egretshed/routing/tests/routing.feature
+++ b/egretshed/routing/tests/routing.feature
@@ -60,6 +60,14 @@
       | a slow replica chosen over a fast one     | slow            | plain          | not chosen |
       | a replica chosen whose call was given up  | given-up        | load=6         | not chosen |
 
+  Scenario: A server that was cold and slow gets calls while it is warming
+    Guards against a server that stays cold because its own times rank it last.
+    Given a router with policy "predictive" over 2 replicas
+    And all calls had a first token after 0.2 s
+    And p-0 is "slow warming" and p-1 is "plain"
+    When 90 calls are routed and end
+    Then each replica got from 18 to 72 calls
+
   Scenario Outline: Two choices guard against <failure>
     Given a router with policy "least_loaded" over 2 replicas
     And p-0 is "<first>" and p-1 is "<second>"
--- a/egretshed/routing/tests/steps/routing_steps.py
+++ b/egretshed/routing/tests/steps/routing_steps.py
@@ -243,6 +243,8 @@
         context.borrower.set(replica_id, in_flight=int(value))
     elif name == "limit":
         context.borrower.set(replica_id, limit=int(value))
+    elif name == "warming":
+        context.borrower.set(replica_id, warm=False)
     elif name == "far":
         declare(context, replica_id, failure_domain="b")
     elif name == "given-up":
