Use the field's terms for partitions and reachable members throughout

Cause: a few names and sentences kept our own words. Change: names and wording only. Conclusion: none.

--- a/bench/detection.py
+++ b/bench/detection.py
@@ -1,7 +1,7 @@
-"""Measures how soon nodes notice crashes, a lost failure domain and parted regions.
+"""Measures how soon nodes notice crashes, a lost failure domain and a partition.
 
 All nodes run in one process over the in-memory network and a manual clock. The times
-are compared with `MembershipService.detection_bound_s`. `parted` is the time from a cut
+are compared with `MembershipService.detection_bound_s`. `split` is the time from a cut
 between two regions until no node counts one of the other region, `first dead`
 the earliest time at which a node took another for dead in that cut, `rejoined` the time
 from the end of the cut until every node reaches all.
@@ -52,10 +52,10 @@
     """Crash nodes at once; return when the last other one knew of all."""
     for victim in victims:
         await fleet.crash(victim)
-    return await until(fleet, lambda: not any_heard(fleet, victims))
+    return await until(fleet, lambda: not any_reachable(fleet, victims))
 
 
-def any_heard(fleet: Fleet, victims: list[str]) -> bool:
+def any_reachable(fleet: Fleet, victims: list[str]) -> bool:
     return any(
         member is not None and member.is_reachable
         for node in fleet.nodes.values()
@@ -134,7 +134,7 @@
     parser.add_argument("--crashes", type=int, default=5, help="one after another")
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     options = parser.parse_args()
-    print("nodes seed  bound  crash  domain  parted  first dead  rejoined  (seconds)")
+    print("nodes seed  bound  crash  domain  split   first dead  rejoined  (seconds)")
     for nodes in options.sizes:
         for seed in options.seeds:
             found = asyncio.run(measure(nodes, options.crashes, seed))
--- a/egretshed/membership/ownership.py
+++ b/egretshed/membership/ownership.py
@@ -77,7 +77,7 @@
         entries = self.vms.entries.values()
         listed = [vm.node_id for vm in entries if vm.region == region]
         listed = listed or [vm.node_id for vm in entries]
-        reachable = [node_id for node_id in listed if self._is_heard(node_id)]
+        reachable = [node_id for node_id in listed if self._is_reachable(node_id)]
         doubled = 2 * len(reachable)
         has_tie_breaker = (
             doubled == len(listed) and min(listed, default="") in reachable
@@ -86,7 +86,7 @@
             len(reachable), len(listed), doubled > len(listed) or has_tie_breaker
         )
 
-    def _is_heard(self, node_id: str) -> bool:
+    def _is_reachable(self, node_id: str) -> bool:
         member = self.view.members.get(node_id)
         return member is not None and member.status not in DOUBTED
 
--- a/egretshed/membership/tests/steps/membership_steps.py
+++ b/egretshed/membership/tests/steps/membership_steps.py
@@ -79,7 +79,7 @@
 
 
 @then("no running node reaches {node_id}")
-def not_heard(context, node_id):
+def not_reachable(context, node_id):
     reaching = [
         n for n in context.fleet.nodes if node_id in context.fleet.reachable_by(n)
     ]
