--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -1,7 +1,6 @@
 """One node: its slices wired together, started and stopped in order."""
 
 import asyncio
-import random
 import socket
 from collections.abc import Coroutine
 from typing import Any
@@ -24,23 +23,15 @@
 )
 from egretshed.callers.keys import CustomerKeys
 from egretshed.claims.service import ClaimService
-from egretshed.clock import SystemClock
 from egretshed.configuration.service import ConfigurationService
-from egretshed.environment import (
-    Environment,
-    Identity,
-)
+from egretshed.daemon.identity import make_environment
 from egretshed.errors import (
     PlatformUnavailable,
     TableConflict,
     TableOutcomeUnknown,
 )
-from egretshed.logs import (
-    log_event,
-    make_logger,
-)
+from egretshed.logs import log_event
 from egretshed.membership.service import MembershipService
-from egretshed.metrics import Metrics
 from egretshed.operators.routes import (
     OperatorServices,
     operator_routes,
@@ -59,32 +50,9 @@
 )
 from egretshed.slots.service import SlotService
 
-INCARNATION_RANDOM_BITS = 10
 BODY_HARD_LIMIT_FACTOR = 4
 
 
-def make_environment(settings: Settings, peer_port: int, http_port: int) -> Environment:
-    """Return this process's environment with a new incarnation."""
-    clock = SystemClock()
-    source = random.Random()
-    milliseconds = int(clock.wall_s() * 1000)
-    incarnation = (milliseconds << INCARNATION_RANDOM_BITS) | source.getrandbits(
-        INCARNATION_RANDOM_BITS
-    )
-    node = settings.node
-    identity = Identity(
-        node_id=node.node_id,
-        incarnation=incarnation,
-        host=node.host,
-        peer_port=peer_port,
-        http_port=http_port,
-        failure_domain=node.failure_domain,
-        region=node.region,
-    )
-    logger = make_logger(node.node_id, settings.log_level)
-    return Environment(clock, source, settings, logger, Metrics(), identity)
-
-
 class Node:
     """All slices of one entry node."""
 
--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -145,6 +145,15 @@
     exit_status = ExitStatus.FAILED
 
 
+class StageFailed(RequestFailed):
+    """A stage before the request did not give its results. Fields: `reason`, `stage`.
+
+    The request itself was not sent to any backend server.
+    """
+
+    code = "stage_failed"
+
+
 class DeadlineExceeded(RequestFailed):
     code = "failed"
     http_status = 504
@@ -170,6 +179,13 @@
     """
 
 
+class CallerGone(EgretshedError):
+    """The caller closed its connection; nobody waits for the answer."""
+
+    code = "caller_gone"
+    http_status = 499
+
+
 class StreamGap(EgretshedError):
     """The events asked for are no longer buffered. Field: `oldest_sequence`."""
 
@@ -203,6 +219,12 @@
     code = "backend_rejected"
 
 
+class ServerRefusedWork(BackendError):
+    """The server proved that it did not run the request. Field: `status`."""
+
+    code = "server_refused"
+
+
 class BackendSilent(BackendError):
     code = "backend_silent"
 
@@ -242,6 +264,12 @@
     code = "table_unavailable"
 
 
+class HistoryLost(PlatformUnavailable):
+    """The changes asked for are no longer kept; read the whole table again."""
+
+    code = "history_lost"
+
+
 class TableOutcomeUnknown(EgretshedError):
     """The transaction may have been written; read back to know."""
 
--- /dev/null
+++ b/egretshed/feeds/follower.py
@@ -0,0 +1,183 @@
+"""Follows one table of the platform's store and keeps what it said last.
+
+The whole table is read first, then its changes as they come. After lost history the
+whole table is read again. While the store gives nothing, what was known stays in use,
+and its age is known.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    HistoryLost,
+    PlatformUnavailable,
+)
+from egretshed.logs import log_event
+from egretshed.platform.interface import (
+    ChangeFeed,
+    StoredRow,
+    TableChanges,
+)
+
+# A feed call that waits this long without an answer is on a silent connection. It stays
+# under the time in which a change must be in force.
+FEED_WAIT_S = 2.5
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+RETRY_FACTOR = 1.7
+
+
+class TableState(NamedTuple):
+    """A whole table at one version, as handed to a peer that is behind."""
+
+    version: int
+    rows: tuple[StoredRow, ...]
+
+
+class TableFollower:
+    """State of one table; `on_change` gets every row that changed.
+
+    `on_change(rows, is_whole)` is called with all rows after a whole read, and with the
+    changed ones otherwise.
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        feed: ChangeFeed,
+        table: str,
+        on_change: Callable[[tuple[StoredRow, ...], bool], None],
+    ):
+        self.env = env
+        self.feed = feed
+        self.table = table
+        self.on_change = on_change
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.version = 0
+        self.is_connected = False
+        self.confirmed_s: float | None = None
+        self.regained_s: float | None = None
+        self._must_read_whole = True
+
+    @property
+    def is_loaded(self) -> bool:
+        return self.confirmed_s is not None
+
+    def age_s(self) -> float:
+        """Return how long ago the state was last known to be current."""
+        if self.confirmed_s is None:
+            return float("inf")
+        return self.env.clock.monotonic_s() - self.confirmed_s
+
+    def state(self) -> TableState:
+        return TableState(self.version, tuple(self.rows.values()))
+
+    def adopt(self, state: TableState) -> bool:
+        """Take over a peer's newer state; return whether it was newer."""
+        if state.version <= self.version and self.is_loaded:
+            return False
+        self._apply_whole(TableChanges(state.rows, state.version), "peer")
+        return True
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        pause_s = RETRY_MIN_S
+        while True:
+            try:
+                await self._step()
+            except HistoryLost:
+                log_event(
+                    self.env.logger,
+                    "table_history_lost",
+                    table=self.table,
+                    version=self.version,
+                )
+                self._must_read_whole = True
+                self._note_lost("history_lost")
+            except PlatformUnavailable as error:
+                self._note_lost(str(error))
+                await self.env.clock.sleep(pause_s * self.env.random.uniform(0.7, 1.3))
+                pause_s = min(RETRY_MAX_S, pause_s * RETRY_FACTOR)
+            else:
+                pause_s = RETRY_MIN_S
+
+    async def _step(self) -> None:
+        if self._must_read_whole:
+            changes = await self.feed.read_table(self.table)
+            self._note_regained()
+            self._apply_whole(changes, "store")
+            self._must_read_whole = False
+            return
+        asked_for = self.version
+        changes = await self.feed.changes(self.table, asked_for, FEED_WAIT_S)
+        self._note_regained()
+        self._apply_changes(changes)
+
+    def _apply_whole(self, changes: TableChanges, source: str) -> None:
+        if changes.version < self.version:
+            return
+        gone = set(self.rows) - {(row.part, row.key) for row in changes.rows}
+        removed = tuple(
+            StoredRow(part, key, None, changes.version) for part, key in gone
+        )
+        self.rows = {(row.part, row.key): row for row in changes.rows}
+        self.version = changes.version
+        self.confirmed_s = self.env.clock.monotonic_s()
+        log_event(
+            self.env.logger,
+            "table_read",
+            table=self.table,
+            version=self.version,
+            rows=len(self.rows),
+            removed=len(removed),
+            source=source,
+        )
+        self.on_change((*changes.rows, *removed), True)
+
+    def _apply_changes(self, changes: TableChanges) -> None:
+        newer = tuple(row for row in changes.rows if self._is_newer(row))
+        for row in newer:
+            if row.value is None:
+                self.rows.pop((row.part, row.key), None)
+            else:
+                self.rows[row.part, row.key] = row
+        self.version = max(self.version, changes.version)
+        self.confirmed_s = self.env.clock.monotonic_s()
+        if newer:
+            self.on_change(newer, False)
+
+    def _is_newer(self, row: StoredRow) -> bool:
+        known = self.rows.get((row.part, row.key))
+        return known is None or row.version > known.version
+
+    def _note_lost(self, reason: str) -> None:
+        if self.is_connected or self.confirmed_s is None:
+            log_event(
+                self.env.logger,
+                "store_lost",
+                table=self.table,
+                reason=reason,
+                version=self.version,
+            )
+        self.is_connected = False
+
+    def _note_regained(self) -> None:
+        if not self.is_connected:
+            self.regained_s = self.env.clock.monotonic_s()
+            log_event(
+                self.env.logger,
+                "store_regained",
+                table=self.table,
+                version=self.version,
+                outage_s=round(self.age_s(), 3) if self.is_loaded else None,
+            )
+        self.is_connected = True
+        self.confirmed_s = self.env.clock.monotonic_s()
+
+
+async def wait_until(condition: Callable[[], bool], poll_s: float = 0.05) -> None:
+    """Return once `condition` holds."""
+    while not condition():
+        await asyncio.sleep(poll_s)
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -39,6 +39,13 @@
     CANCEL_REQUEST = 34
     CLAIM_BATCH = 40
     CLAIM_REPLY = 41
+    STAGE_SUBMIT = 60
+    STAGE_ACCEPTED = 61
+    STAGE_DONE = 62
+    STAGE_CANCEL = 63
+    STAGE_FREE = 64
+    TABLE_FETCH = 65
+    TABLE_ROWS = 66
     ACK = 50
     FAILURE = 51
 
@@ -3500,6 +3507,883 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class StageSubmit(object):
+    """
+    Attributes:
+     - ticket
+     - request_id
+     - service_name
+     - stage
+     - segments
+     - piece_key
+     - inputs
+     - deadline_ms
+     - target_ms
+     - priority
+     - preferred_domain
+     - result_bytes
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'request_id',
+        'service_name',
+        'stage',
+        'segments',
+        'piece_key',
+        'inputs',
+        'deadline_ms',
+        'target_ms',
+        'priority',
+        'preferred_domain',
+        'result_bytes',
+    )
+
+
+    def __init__(self, ticket=None, request_id=None, service_name=None, stage=None, segments=None, piece_key=None, inputs=None, deadline_ms=None, target_ms=None, priority=None, preferred_domain=None, result_bytes=None,):
+        self.ticket = ticket
+        self.request_id = request_id
+        self.service_name = service_name
+        self.stage = stage
+        self.segments = segments
+        self.piece_key = piece_key
+        self.inputs = inputs
+        self.deadline_ms = deadline_ms
+        self.target_ms = target_ms
+        self.priority = priority
+        self.preferred_domain = preferred_domain
+        self.result_bytes = result_bytes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.stage = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.segments = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readI32()
+                        self.segments.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.piece_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.inputs = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.inputs.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.deadline_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.target_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.preferred_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.result_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageSubmit')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.stage is not None:
+            oprot.writeFieldBegin('stage', TType.I32, 4)
+            oprot.writeI32(self.stage)
+            oprot.writeFieldEnd()
+        if self.segments is not None:
+            oprot.writeFieldBegin('segments', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.segments))
+            for iter117 in self.segments:
+                oprot.writeI32(iter117)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.piece_key is not None:
+            oprot.writeFieldBegin('piece_key', TType.STRING, 6)
+            oprot.writeString(self.piece_key.encode('utf-8') if sys.version_info[0] == 2 else self.piece_key)
+            oprot.writeFieldEnd()
+        if self.inputs is not None:
+            oprot.writeFieldBegin('inputs', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.inputs))
+            for iter118 in self.inputs:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.deadline_ms is not None:
+            oprot.writeFieldBegin('deadline_ms', TType.I32, 8)
+            oprot.writeI32(self.deadline_ms)
+            oprot.writeFieldEnd()
+        if self.target_ms is not None:
+            oprot.writeFieldBegin('target_ms', TType.I32, 9)
+            oprot.writeI32(self.target_ms)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 10)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.preferred_domain is not None:
+            oprot.writeFieldBegin('preferred_domain', TType.STRING, 11)
+            oprot.writeString(self.preferred_domain.encode('utf-8') if sys.version_info[0] == 2 else self.preferred_domain)
+            oprot.writeFieldEnd()
+        if self.result_bytes is not None:
+            oprot.writeFieldBegin('result_bytes', TType.I64, 12)
+            oprot.writeI64(self.result_bytes)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ticket is None:
+            raise TProtocolException(message='Required field ticket is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.stage is None:
+            raise TProtocolException(message='Required field stage is unset!')
+        if self.segments is None:
+            raise TProtocolException(message='Required field segments is unset!')
+        if self.inputs is None:
+            raise TProtocolException(message='Required field inputs is unset!')
+        if self.deadline_ms is None:
+            raise TProtocolException(message='Required field deadline_ms is unset!')
+        if self.target_ms is None:
+            raise TProtocolException(message='Required field target_ms is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.preferred_domain is None:
+            raise TProtocolException(message='Required field preferred_domain is unset!')
+        if self.result_bytes is None:
+            raise TProtocolException(message='Required field result_bytes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageAccepted(object):
+    """
+    Attributes:
+     - expected_ms
+     - retry_after_ms
+
+    """
+
+    __slots__ = (
+        'expected_ms',
+        'retry_after_ms',
+    )
+
+
+    def __init__(self, expected_ms=None, retry_after_ms=None,):
+        self.expected_ms = expected_ms
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.expected_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageAccepted')
+        if self.expected_ms is not None:
+            oprot.writeFieldBegin('expected_ms', TType.I32, 1)
+            oprot.writeI32(self.expected_ms)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 2)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.expected_ms is None:
+            raise TProtocolException(message='Required field expected_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageDone(object):
+    """
+    Attributes:
+     - ticket
+     - handles
+     - reason
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'handles',
+        'reason',
+    )
+
+
+    def __init__(self, ticket=None, handles=None, reason=None,):
+        self.ticket = ticket
+        self.handles = handles
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.handles = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageDone')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.handles is not None:
+            oprot.writeFieldBegin('handles', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.handles))
+            for iter125 in self.handles:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ticket is None:
+            raise TProtocolException(message='Required field ticket is unset!')
+        if self.handles is None:
+            raise TProtocolException(message='Required field handles is unset!')
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageCancel(object):
+    """
+    Attributes:
+     - ticket
+
+    """
+
+    __slots__ = (
+        'ticket',
+    )
+
+
+    def __init__(self, ticket=None,):
+        self.ticket = ticket
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageCancel')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ticket is None:
+            raise TProtocolException(message='Required field ticket is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StageFree(object):
+    """
+    Attributes:
+     - service_name
+     - handles
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'handles',
+    )
+
+
+    def __init__(self, service_name=None, handles=None,):
+        self.service_name = service_name
+        self.handles = handles
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.handles = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem131)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StageFree')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.handles is not None:
+            oprot.writeFieldBegin('handles', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.handles))
+            for iter132 in self.handles:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.handles is None:
+            raise TProtocolException(message='Required field handles is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableFetch(object):
+    """
+    Attributes:
+     - table
+     - version
+
+    """
+
+    __slots__ = (
+        'table',
+        'version',
+    )
+
+
+    def __init__(self, table=None, version=None,):
+        self.table = table
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableFetch')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.table is None:
+            raise TProtocolException(message='Required field table is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableRow(object):
+    """
+    Attributes:
+     - part
+     - key
+     - value
+     - version
+
+    """
+
+    __slots__ = (
+        'part',
+        'key',
+        'value',
+        'version',
+    )
+
+
+    def __init__(self, part=None, key=None, value=None, version=None,):
+        self.part = part
+        self.key = key
+        self.value = value
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRow')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableRows(object):
+    """
+    Attributes:
+     - version
+     - rows
+
+    """
+
+    __slots__ = (
+        'version',
+        'rows',
+    )
+
+
+    def __init__(self, version=None, rows=None,):
+        self.version = version
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = TableRow()
+                        _elem138.read(iprot)
+                        self.rows.append(_elem138)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRows')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter139 in self.rows:
+                iter139.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.rows is None:
+            raise TProtocolException(message='Required field rows is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3738,5 +4622,65 @@
     None,  # 0
     (1, TType.LIST, 'results', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(StageSubmit)
+StageSubmit.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'stage', None, None, ),  # 4
+    (5, TType.LIST, 'segments', (TType.I32, None, False), None, ),  # 5
+    (6, TType.STRING, 'piece_key', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'inputs', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.I32, 'deadline_ms', None, None, ),  # 8
+    (9, TType.I32, 'target_ms', None, None, ),  # 9
+    (10, TType.I32, 'priority', None, None, ),  # 10
+    (11, TType.STRING, 'preferred_domain', 'UTF8', None, ),  # 11
+    (12, TType.I64, 'result_bytes', None, None, ),  # 12
+)
+all_structs.append(StageAccepted)
+StageAccepted.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'expected_ms', None, None, ),  # 1
+    (2, TType.I32, 'retry_after_ms', None, None, ),  # 2
+)
+all_structs.append(StageDone)
+StageDone.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+    (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
+all_structs.append(StageCancel)
+StageCancel.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+)
+all_structs.append(StageFree)
+StageFree.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(TableFetch)
+TableFetch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+)
+all_structs.append(TableRow)
+TableRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+)
+all_structs.append(TableRows)
+TableRows.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -9,6 +9,8 @@
   STREAM_FETCH = 30, STREAM_EVENTS = 31, OUTCOME_QUERY = 32, OUTCOME_REPLY = 33,
   CANCEL_REQUEST = 34,
   CLAIM_BATCH = 40, CLAIM_REPLY = 41,
+  STAGE_SUBMIT = 60, STAGE_ACCEPTED = 61, STAGE_DONE = 62, STAGE_CANCEL = 63,
+  STAGE_FREE = 64, TABLE_FETCH = 65, TABLE_ROWS = 66,
   ACK = 50, FAILURE = 51,
 }
 
@@ -212,3 +214,59 @@
 struct ClaimReply {
   1: required list<string> results,   // per item: claimed | taken | unavailable | unknown
 }
+
+// Pieces of one stage of one request, handed to the node that batches for the service.
+struct StageSubmit {
+  1: required i64 ticket,            // unique for the sending incarnation
+  2: required string request_id,
+  3: required string service_name,
+  4: required i32 stage,
+  5: required list<i32> segments,
+  6: optional string piece_key,      // for stages that follow no other
+  7: required list<string> inputs,   // handles of all results that the pieces need
+  8: required i32 deadline_ms,       // time left until the request's deadline
+  9: required i32 target_ms,         // time left in which the stage must end to be on time
+  10: required i32 priority,
+  11: required string preferred_domain,
+  12: required i64 result_bytes,     // of one piece, approximately
+}
+
+// Reply to StageSubmit; with retry_after_ms nothing was queued and nothing will run.
+struct StageAccepted {
+  1: required i32 expected_ms,
+  2: optional i32 retry_after_ms,
+}
+
+struct StageDone {
+  1: required i64 ticket,
+  2: required list<string> handles,  // in the order of the segments; empty on failure
+  3: required string reason,         // empty on success
+}
+
+struct StageCancel {
+  1: required i64 ticket,
+}
+
+// Results that are needed no more.
+struct StageFree {
+  1: required string service_name,
+  2: required list<string> handles,
+}
+
+// Asks a peer for a table of the platform's store that is newer than `version`.
+struct TableFetch {
+  1: required string table,
+  2: required i64 version,
+}
+
+struct TableRow {
+  1: required string part,
+  2: required string key,
+  3: required binary value,
+  4: required i64 version,
+}
+
+struct TableRows {
+  1: required i64 version,
+  2: required list<TableRow> rows,
+}
--- a/egretshed/platform/interface.py
+++ b/egretshed/platform/interface.py
@@ -35,6 +35,35 @@
     value: Any
 
 
+class StoredRow(NamedTuple):
+    """One row of a change feed; `value` is None for a row that was removed."""
+
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class TableChanges(NamedTuple):
+    """Rows of a table; a feed goes on from `version`."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+class ChangeFeed(Protocol):
+    """Tables whose changes can be followed."""
+
+    async def read_table(self, table: str, part: str = "") -> TableChanges:
+        """Return all rows of a table. Raises `PlatformUnavailable`."""
+
+    async def changes(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Return the rows that changed after a version, as soon as there are any.
+
+        Raises `HistoryLost` and `PlatformUnavailable`.
+        """
+
+
 class TableService(Protocol):
     async def read(self, keys: list[str]) -> dict[str, Row]:
         """Return the rows that exist. Raises `TableUnavailable`."""
--- /dev/null
+++ b/egretshed/platform/records.py
@@ -0,0 +1,229 @@
+"""Decodes the platform's configuration and server entries into egretshed's records.
+
+Entries may come from other writers: a field that is missing or of another type raises
+`MalformedRecord`, and the entry names nothing to use.
+"""
+
+from typing import Any
+
+import msgspec
+
+from egretshed.errors import EgretshedError
+from egretshed.servers.records import (
+    ListedServer,
+    ServerAddress,
+    ServerPhase,
+)
+from egretshed.serving.schema import (
+    CallerLimits,
+    Customer,
+    EngineLimits,
+    RepeatRule,
+    Route,
+    Service,
+    ServingConfiguration,
+    StageLimits,
+    StageSpec,
+    WeightedService,
+)
+
+BYTES_PER_MB = 1_000_000
+REPEAT_RULES = {
+    "idempotent": RepeatRule.IDEMPOTENT,
+    "non_idempotent": RepeatRule.NON_IDEMPOTENT,
+    "streaming": RepeatRule.STREAM,
+}
+PHASES = {"ready": ServerPhase.READY, "draining": ServerPhase.LEAVING}
+
+
+class MalformedRecord(EgretshedError):
+    """A row of the platform's store does not hold what its place says."""
+
+    code = "malformed_record"
+    http_status = 502
+
+
+class _StageWire(msgspec.Struct):
+    service: str
+    byte_count: int = 0  # approximate size of one result, not of the request
+    after: list[int] = []
+
+
+class _SplitWire(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _RouteWire(msgspec.Struct):
+    name: str
+    hostname: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    split: list[_SplitWire] = []
+    max_attempts: int = 1
+    allowed_regions: list[str] | None = None
+    public: bool = False
+    resumable: bool = False
+    target_itl_ms: float = 0.0  # longest pause between events
+    stages: list[_StageWire] = []
+
+
+class _EngineWire(msgspec.Struct):
+    slots: int
+    kv_capacity: int  # tokens
+
+
+class _SegmentsWire(msgspec.Struct):
+    slots: int
+    batch: int
+    call_ms: float
+    item_ms: float
+    headroom_mb: float  # room for results at their maker, not a spare margin
+    handle_ttl_s: float
+
+
+class _ServiceWire(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    cold_per_s: float = 0.0
+    engine: _EngineWire | None = None
+    segments: _SegmentsWire | None = None
+
+
+class _LimitsWire(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 65536
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 10000.0
+    idle_timeout_ms: float = 60000.0
+
+
+class _TenantWire(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _ConfigurationWire(msgspec.Struct):
+    version: int
+    routes: list[_RouteWire]
+    services: list[_ServiceWire] = []
+    limits: _LimitsWire = _LimitsWire()
+    tenants: list[_TenantWire] | None = None
+
+
+class _ServerWire(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    sequence: int  # counts the entry's own writes and orders; no version of the data
+    cold_remaining_ms: float = 0.0
+    born: int = 0  # Unix milliseconds of the server's start
+
+
+def decode_configuration(value: bytes) -> ServingConfiguration:
+    """Return the configuration in `value`; raise `MalformedRecord`."""
+    wire = _decode(value, _ConfigurationWire)
+    customers = {
+        key: Customer(tenant.name, tenant.priority)
+        for tenant in wire.tenants or ()
+        for key in tenant.api_keys
+    }
+    limits = wire.limits
+    return ServingConfiguration(
+        version=wire.version,
+        routes=tuple(_route(route) for route in wire.routes),
+        services={service.name: _service(service) for service in wire.services},
+        customers_by_key=customers,
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+        needs_key=bool(wire.tenants),
+    )
+
+
+def decode_server(server_id: str, value: bytes) -> ListedServer:
+    """Return the entry of one backend server; raise `MalformedRecord`."""
+    wire = _decode(value, _ServerWire)
+    if wire.state not in PHASES:
+        raise MalformedRecord(f"server state {wire.state!r} is unknown")
+    return ListedServer(
+        server_id=server_id,
+        service=wire.service,
+        address=decode_address(wire.address),
+        failure_domain=wire.zone,
+        phase=PHASES[wire.state],
+        slots=wire.slots,
+        cold_s=max(0.0, wire.cold_remaining_ms / 1000),
+        started_ms=wire.born,
+    )
+
+
+def decode_address(text: str) -> ServerAddress:
+    """Return ``HOST:PORT`` as an address; raise `MalformedRecord`."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise MalformedRecord(f"address {text!r} is not HOST:PORT")
+    return ServerAddress(host, int(port))
+
+
+def _decode(value: bytes, schema: type) -> Any:
+    try:
+        return msgspec.json.decode(value, type=schema)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedRecord(str(error)) from error
+
+
+def _route(wire: _RouteWire) -> Route:
+    rule = REPEAT_RULES.get(wire.type)
+    if rule is None:
+        raise MalformedRecord(f"route type {wire.type!r} is unknown")
+    split = [WeightedService(part.service, part.weight) for part in wire.split]
+    if wire.service is not None:
+        split = [WeightedService(wire.service, 1.0)]
+    split = [part for part in split if part.weight > 0]
+    if not split:
+        raise MalformedRecord(f"route {wire.name!r} names no service")
+    return Route(
+        name=wire.name,
+        host=wire.hostname.lower(),
+        path_prefix=wire.path_prefix,
+        repeat_rule=rule,
+        timeout_s=wire.timeout_ms / 1000,
+        target_s=wire.target_latency_ms / 1000,
+        priority=wire.priority,
+        services=tuple(split),
+        max_attempts=max(1, wire.max_attempts),
+        regions=tuple(wire.allowed_regions or ()),
+        is_public=wire.public,
+        is_resumable=wire.resumable,
+        event_pause_s=wire.target_itl_ms / 1000,
+        stages=tuple(
+            StageSpec(stage.service, tuple(stage.after), stage.byte_count)
+            for stage in wire.stages
+        ),
+    )
+
+
+def _service(wire: _ServiceWire) -> Service:
+    engine = wire.engine and EngineLimits(wire.engine.slots, wire.engine.kv_capacity)
+    segments = wire.segments
+    stage = segments and StageLimits(
+        slots=segments.slots,
+        batch_items=max(1, segments.batch),
+        call_s=segments.call_ms / 1000,
+        item_s=segments.item_ms / 1000,
+        result_room_bytes=int(segments.headroom_mb * BYTES_PER_MB),
+        result_ttl_s=segments.handle_ttl_s,
+    )
+    return Service(
+        wire.name, wire.max_conns, wire.cold_per_s, engine or None, stage or None
+    )
--- /dev/null
+++ b/egretshed/platform/store.py
@@ -0,0 +1,192 @@
+"""Client of the platform's row store; the daemon has one.
+
+A refusal (429, 503) means that nothing was done. A transaction without an answer may
+have been done, now or later, and raises `TableOutcomeUnknown`.
+"""
+
+import asyncio
+import base64
+from typing import (
+    Any,
+    NamedTuple,
+)
+from urllib.parse import urlencode
+
+import msgspec
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    HistoryLost,
+    PlatformUnavailable,
+    TableConflict,
+    TableOutcomeUnknown,
+    TableUnavailable,
+)
+from egretshed.platform.interface import (
+    StoredRow,
+    TableChanges,
+)
+from egretshed.upstream.exchange import (
+    ExchangeFailed,
+    OutgoingRequest,
+)
+from egretshed.upstream.pool import ConnectionPool
+
+# Rows of one page; the store returns at most this many.
+PAGE_ROWS = 500
+# A page that takes this long is asked for again on another connection.
+READ_TIMEOUT_S = 1.0
+# An answer to a feed call may come this much later than the wait that it asked for.
+FEED_SLACK_S = 0.5
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class _RowWire(msgspec.Struct):
+    key: str
+    table: str = ""
+    part: str = ""
+    value: str = ""  # base64
+    row_version: int = 0
+    deleted: bool = False
+
+
+class _RowsWire(msgspec.Struct):
+    row_version: int  # newest version of the whole store, not of one row
+    rows: list[_RowWire] = []
+    has_more: bool = False
+
+
+class RowWrite(NamedTuple):
+    """Sets `key` to `value`, or removes it if `value` is None."""
+
+    key: str
+    value: bytes | None
+
+
+class RowStore:
+    """Reads, conditional writes and change feeds of tables."""
+
+    def __init__(self, env: Environment, pool: ConnectionPool):
+        self.env = env
+        self.pool = pool
+        self.address = env.settings.platform.url.removeprefix("http://")
+
+    async def read_table(self, table: str, part: str = "") -> TableChanges:
+        """Return all rows; raises `PlatformUnavailable`.
+
+        The version is that of the first page, so that no change is missed by a feed
+        that goes on from it.
+        """
+        rows: list[StoredRow] = []
+        start, version = "", 0
+        while True:
+            query = {"table": table, "part": part, "limit": PAGE_ROWS}
+            if start:
+                query["from"] = start
+            page = await self._get("/rows-get", query, READ_TIMEOUT_S)
+            version = version or page.row_version
+            rows += [_stored(row) for row in page.rows]
+            if not page.has_more or not page.rows:
+                return TableChanges(tuple(rows), version)
+            start = page.rows[-1].key + "\0"
+
+    async def changes(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Wait for changes after a version.
+
+        Raises `HistoryLost` if the store no longer has them, `PlatformUnavailable`.
+        """
+        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        page = await self._get("/rows-feed", query, wait_s + FEED_SLACK_S)
+        return TableChanges(tuple(_stored(row) for row in page.rows), page.row_version)
+
+    async def write(
+        self,
+        table: str,
+        writes: list[RowWrite],
+        expected: dict[str, int],
+        part: str = "",
+    ) -> None:
+        """Apply all writes if each row of `expected` has its version (0: absent).
+
+        Raises `TableConflict`, `TableUnavailable` (nothing written) and
+        `TableOutcomeUnknown`.
+        """
+        body = {
+            "expected_revision": [
+                {"table": table, "part": part, "key": key, "row_version": version}
+                for key, version in expected.items()
+            ],
+            "write": [
+                {
+                    "table": table,
+                    "part": part,
+                    "key": row.key,
+                    "value": base64.b64encode(row.value).decode(),
+                }
+                for row in writes
+                if row.value is not None
+            ],
+            "remove": [
+                {"table": table, "part": part, "key": row.key}
+                for row in writes
+                if row.value is None
+            ],
+        }
+        try:
+            status, answer = await self._call("POST", "/rows-tx", body, READ_TIMEOUT_S)
+        except ExchangeFailed as error:
+            if not error.may_have_run:
+                raise TableUnavailable(str(error)) from error
+            raise TableOutcomeUnknown(str(error)) from error
+        if status == 412:
+            raise TableConflict("condition did not hold", keys=list(expected))
+        if status in (429, 503):
+            raise TableUnavailable(f"store answered {status}")
+        if status != 200:
+            raise TableOutcomeUnknown(f"store answered {status}")
+
+    async def _get(self, path: str, query: dict, timeout_s: float) -> _RowsWire:
+        target = f"{path}?{urlencode(query)}"
+        try:
+            status, body = await self._call("GET", target, None, timeout_s)
+        except ExchangeFailed as error:
+            raise PlatformUnavailable(f"{path}: {error}") from error
+        if status == 410:
+            raise HistoryLost(f"{path}: history is gone")
+        if status != 200:
+            raise PlatformUnavailable(f"{path} answered {status}", status=status)
+        try:
+            return msgspec.json.decode(body, type=_RowsWire)
+        except msgspec.DecodeError as error:
+            raise PlatformUnavailable(f"{path}: {error}") from error
+
+    async def _call(
+        self, method: str, target: str, body: Any, timeout_s: float
+    ) -> tuple[int, bytes]:
+        operation = target.partition("?")[0].lstrip("/")
+        self.env.metrics.counter(
+            "platform_calls_total", "Calls to the platform", ("operation",)
+        ).labels(operation).inc()
+        content = b"" if body is None else msgspec.json.encode(body)
+        headers = [("Host", self.address)]
+        if content:
+            headers.append(("Content-Type", "application/json"))
+        request = OutgoingRequest(method, target, tuple(headers), content)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.pool.fetch(
+                    self.address, request, MAX_ANSWER_BYTES, reuse=True
+                )
+        except TimeoutError:
+            raise ExchangeFailed("no answer in time", may_have_run=True) from None
+
+
+def _stored(wire: _RowWire) -> StoredRow:
+    try:
+        value = base64.b64decode(wire.value, validate=True)
+    except ValueError:
+        # Undecodable bytes make the one row malformed, not the whole page.
+        value = b""
+    return StoredRow(
+        wire.part, wire.key, None if wire.deleted else value, wire.row_version
+    )
--- /dev/null
+++ b/egretshed/platform/tables.py
@@ -0,0 +1,13 @@
+"""Names of the tables and keys in which the platform and its operators write."""
+
+OPERATOR_TABLE = "op"
+SERVER_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+
+
+def evacuated_domain(key: str) -> str | None:
+    """Return the failure domain that a key of the operators' table takes out."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX)
--- a/egretshed/settings/schema.py
+++ b/egretshed/settings/schema.py
@@ -135,6 +135,36 @@
     limit_s: float = 30.0
 
 
+class ListenerSettings(NamedTuple):
+    """Addresses as ``HOST:PORT``; the callers' platform connects to the first three."""
+
+    callers: str = ""
+    readiness: str = ""
+    directory: str = ""
+    metrics: str = ""
+
+
+class BoundSettings(NamedTuple):
+    """Bounds that the deployment's operators promise to their callers.
+
+    The deployment's platform fills them in; the defaults are those of the first
+    deployments.
+    """
+
+    contact_ms: int = 3000
+    drain_ms: int = 2000
+    shutdown_s: float = 8.0
+    configuration_ms: int = 2000
+    evacuation_ms: int = 5000
+    retry_share: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 54.0
+    cold_overshoot: float = 1.5
+    cold_tolerance: float = 5.0
+    address_keep_limit_s: float = 5.0
+    heartbeat_ms: int = 1200
+
+
 class Settings(NamedTuple):
     """The whole settings file."""
 
@@ -152,4 +182,7 @@
     configuration: ConfigurationSettings = ConfigurationSettings()
     plans: PlanSettings = PlanSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    listeners: ListenerSettings = ListenerSettings()
+    bounds: BoundSettings = BoundSettings()
+    failure_domain_regions: dict[str, str] = {}
     log_level: str = "INFO"
--- /dev/null
+++ b/egretshed/stagework/client.py
@@ -0,0 +1,271 @@
+"""Runs the stages of a request at the nodes that batch for their services.
+
+The owner of a service is chosen by rendezvous hashing over the nodes that this node
+reaches. An owner that does not accept a job at once, or that falls silent, is passed
+over; another node, at last this one, does the work.
+"""
+
+import asyncio
+import itertools
+from typing import NamedTuple
+
+import xxhash
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    NotRun,
+    PeerRejected,
+    PeerUnavailable,
+    StageFailed,
+)
+from egretshed.gen.messages.ttypes import (
+    StageAccepted,
+    StageCancel,
+    StageDone,
+    StageFree,
+    StageSubmit,
+)
+from egretshed.logs import log_event
+from egretshed.membership.service import MembershipService
+from egretshed.peers.network import (
+    PeerNetwork,
+    Sender,
+)
+from egretshed.stagework.graph import StagePlan
+from egretshed.stagework.owner import (
+    StageJob,
+    StageOutcome,
+    StageOwner,
+)
+
+# An owner that lives accepts within a few milliseconds; a frozen one does not.
+ACCEPT_TIMEOUT_S = 0.2
+# An owner that did not accept is passed over this long.
+AVOID_OWNER_S = 1.0
+OWNERS_TRIED = 2
+# Time beyond the expected one after which a silent owner is given up.
+SILENCE_FACTOR = 1.6
+SILENCE_S = 0.6
+LIVENESS_POLL_S = 0.1
+
+
+class StageContext(NamedTuple):
+    """What all stages of one request have in common; times are monotonic."""
+
+    request_id: str
+    piece_key: str
+    deadline_at_s: float
+    target_at_s: float
+    priority: int
+    preferred_domain: str
+
+
+class StageClient:
+    """Hands jobs to owners and waits for their results."""
+
+    def __init__(
+        self,
+        env: Environment,
+        peers: PeerNetwork,
+        membership: MembershipService,
+        owner: StageOwner,
+    ):
+        self.env = env
+        self.peers = peers
+        self.membership = membership
+        self.owner = owner
+        # Starts above the tickets of this node's earlier incarnations.
+        self._tickets = itertools.count(env.identity.incarnation)
+        self._waiting: dict[int, asyncio.Future[StageOutcome]] = {}
+        self._avoid_until_s: dict[str, float] = {}
+        peers.handle(StageSubmit, self._on_submit)
+        peers.handle(StageDone, self._on_done)
+        peers.handle(StageCancel, self._on_cancel)
+        peers.handle(StageFree, self._on_free)
+
+    def owners(self, service: str) -> list[str]:
+        """Return the nodes that may batch for a service, the first choice first."""
+        now_s = self.env.clock.monotonic_s()
+        own_id = self.env.identity.node_id
+        usable = [
+            member.node_id
+            for member in self.membership.reachable()
+            if not member.leaving
+            and now_s >= self._avoid_until_s.get(member.node_id, 0.0)
+        ]
+        ranked = sorted(
+            set(usable) | {own_id},
+            key=lambda node_id: xxhash.xxh64_intdigest(f"{service}/{node_id}".encode()),
+        )
+        return ranked
+
+    async def run_stage(
+        self, context: StageContext, plan: StagePlan, inputs: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Return the handles of all pieces of one stage.
+
+        Raises `NotRun` if the stage cannot end in time, `StageFailed` if it ran and
+        failed.
+        """
+        own_id = self.env.identity.node_id
+        candidates = self.owners(plan.service)[:OWNERS_TRIED]
+        if own_id not in candidates:
+            candidates.append(own_id)
+        for node_id in candidates:
+            job = self._job(context, plan, inputs)
+            try:
+                if node_id == own_id:
+                    outcome = await self._run_here(job)
+                else:
+                    outcome = await self._run_at(node_id, job)
+            except (PeerUnavailable, PeerRejected) as error:
+                self._avoid(node_id, plan.service, str(error))
+                continue
+            if outcome.reason:
+                raise StageFailed(
+                    f"stage {plan.index} failed",
+                    reason=outcome.reason,
+                    stage=plan.index,
+                )
+            return outcome.handles
+        raise StageFailed("no node batches for the stage", reason="no_owner")
+
+    def free(self, service: str, handles: tuple[str, ...]) -> None:
+        """Free results that are needed no more."""
+        if not handles:
+            return
+        node_id = self.owners(service)[0]
+        if node_id == self.env.identity.node_id:
+            self.owner.free(list(handles))
+        else:
+            self.peers.send(node_id, StageFree(service, list(handles)))
+
+    def _job(self, context: StageContext, plan: StagePlan, inputs) -> StageJob:
+        now_s = self.env.clock.monotonic_s()
+        return StageJob(
+            node_id=self.env.identity.node_id,
+            ticket=next(self._tickets),
+            request_id=context.request_id,
+            service=plan.service,
+            stage=plan.index,
+            segments=tuple(range(plan.piece_count)),
+            piece_key=context.piece_key,
+            inputs=inputs,
+            deadline_s=context.deadline_at_s - now_s,
+            target_s=context.target_at_s - now_s,
+            priority=context.priority,
+            preferred_domain=context.preferred_domain,
+            result_bytes=plan.result_bytes,
+        )
+
+    async def _run_here(self, job: StageJob) -> StageOutcome:
+        done: asyncio.Future[StageOutcome] = asyncio.get_running_loop().create_future()
+        self.owner.submit(job, lambda o: done.done() or done.set_result(o))
+        try:
+            return await done
+        except asyncio.CancelledError:
+            self.owner.cancel(job.job_id)
+            raise
+
+    async def _run_at(self, node_id: str, job: StageJob) -> StageOutcome:
+        done: asyncio.Future[StageOutcome] = asyncio.get_running_loop().create_future()
+        self._waiting[job.ticket] = done
+        try:
+            reply = await self.peers.call(node_id, _submit(job), ACCEPT_TIMEOUT_S)
+            if reply.retry_after_ms is not None:
+                raise NotRun(
+                    "stage queue is too long",
+                    reason="stage_overload",
+                    retry_after_s=reply.retry_after_ms / 1000,
+                )
+            limit_s = reply.expected_ms / 1000 * SILENCE_FACTOR + SILENCE_S
+            return await self._await_done(node_id, done, limit_s)
+        except (asyncio.CancelledError, PeerUnavailable):
+            self.peers.send(node_id, StageCancel(job.ticket))
+            raise
+        finally:
+            self._waiting.pop(job.ticket, None)
+
+    async def _await_done(
+        self, node_id: str, done: asyncio.Future, limit_s: float
+    ) -> StageOutcome:
+        member = self.membership.member(node_id)
+        incarnation = member.incarnation if member else 0
+        until_s = self.env.clock.monotonic_s() + limit_s
+        while self.env.clock.monotonic_s() < until_s:
+            finished, _ = await asyncio.wait({done}, timeout=LIVENESS_POLL_S)
+            if finished:
+                return done.result()
+            member = self.membership.member(node_id)
+            if member is None or not member.is_reachable:
+                break
+            if member.incarnation != incarnation:
+                break
+        raise PeerUnavailable("owner fell silent", node_id=node_id)
+
+    def _avoid(self, node_id: str, service: str, reason: str) -> None:
+        until_s = self.env.clock.monotonic_s() + AVOID_OWNER_S
+        self._avoid_until_s[node_id] = until_s
+        log_event(
+            self.env.logger,
+            "stage_owner_avoided",
+            owner=node_id,
+            service=service,
+            reason=reason,
+        )
+
+    async def _on_submit(self, sender: Sender, message: StageSubmit) -> StageAccepted:
+        job = StageJob(
+            sender.node_id,
+            message.ticket,
+            message.request_id,
+            message.service_name,
+            message.stage,
+            tuple(message.segments),
+            message.piece_key or "",
+            tuple(message.inputs),
+            message.deadline_ms / 1000,
+            message.target_ms / 1000,
+            message.priority,
+            message.preferred_domain,
+            message.result_bytes,
+        )
+
+        def report(outcome: StageOutcome) -> None:
+            done = StageDone(job.ticket, list(outcome.handles), outcome.reason)
+            self.peers.send(sender.node_id, done)
+
+        try:
+            expected_s = self.owner.submit(job, report)
+        except NotRun as refusal:
+            retry_after_s = refusal.fields.get("retry_after_s", 0.5)
+            return StageAccepted(0, int(retry_after_s * 1000))
+        return StageAccepted(int(expected_s * 1000))
+
+    async def _on_done(self, sender: Sender, message: StageDone) -> None:
+        waiting = self._waiting.get(message.ticket)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(StageOutcome(tuple(message.handles), message.reason))
+
+    async def _on_cancel(self, sender: Sender, message: StageCancel) -> None:
+        self.owner.cancel((sender.node_id, message.ticket))
+
+    async def _on_free(self, sender: Sender, message: StageFree) -> None:
+        self.owner.free(message.handles)
+
+
+def _submit(job: StageJob) -> StageSubmit:
+    return StageSubmit(
+        job.ticket,
+        job.request_id,
+        job.service,
+        job.stage,
+        list(job.segments),
+        job.piece_key,
+        list(job.inputs),
+        int(job.deadline_s * 1000),
+        int(job.target_s * 1000),
+        job.priority,
+        job.preferred_domain,
+        job.result_bytes,
+    )
--- /dev/null
+++ b/egretshed/stagework/ledger.py
@@ -0,0 +1,55 @@
+"""Memory that results take at their makers, as the node that batches knows it."""
+
+from collections import defaultdict
+
+from egretshed.environment import Environment
+
+
+class ResultLedger:
+    """Bytes held at each stage server until they are freed or expire."""
+
+    def __init__(self, env: Environment):
+        self.env = env
+        self._held: dict[str, dict[str, tuple[float, int]]] = defaultdict(dict)
+        self._reserved: dict[str, int] = defaultdict(int)
+        self._full_until_s: dict[str, float] = {}
+
+    def reserve(self, server_id: str, size_bytes: int) -> None:
+        """Count the results of a call that runs."""
+        self._reserved[server_id] += size_bytes
+
+    def release(self, server_id: str, size_bytes: int) -> None:
+        self._reserved[server_id] = max(0, self._reserved[server_id] - size_bytes)
+
+    def add(self, server_id: str, handle: str, size_bytes: int, ttl_s: float) -> None:
+        """Count one finished result until `ttl_s` from now at the latest."""
+        expires_s = self.env.clock.monotonic_s() + ttl_s
+        self._held[server_id][handle] = (expires_s, size_bytes)
+
+    def free(self, handle: str) -> str | None:
+        """Stop counting a result; return its maker, or None if it is unknown."""
+        for server_id, results in self._held.items():
+            if results.pop(handle, None) is not None:
+                return server_id
+        return None
+
+    def note_full(self, server_id: str, for_s: float) -> None:
+        """A server had less room than this ledger knew; leave it out for a while."""
+        self._full_until_s[server_id] = self.env.clock.monotonic_s() + for_s
+
+    def room_bytes(self, server_id: str, limit_bytes: int) -> int:
+        """Return how many bytes of results the server can still take."""
+        now_s = self.env.clock.monotonic_s()
+        if now_s < self._full_until_s.get(server_id, 0.0):
+            return 0
+        results = self._held[server_id]
+        for handle, (expires_s, _) in list(results.items()):
+            if expires_s <= now_s:
+                del results[handle]
+        held = sum(size for _, size in results.values())
+        return limit_bytes - held - self._reserved[server_id]
+
+    def forget(self, server_id: str) -> None:
+        self._held.pop(server_id, None)
+        self._reserved.pop(server_id, None)
+        self._full_until_s.pop(server_id, None)
--- /dev/null
+++ b/egretshed/stagework/owner.py
@@ -0,0 +1,403 @@
+"""The node that batches the pieces of a service: its queue, calls and results.
+
+Pieces of all nodes' requests come here; each call to a stage server is one task. A
+piece whose call failed waits again, a few times; pieces may be produced more than once.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    BackendError,
+    NotRun,
+)
+from egretshed.logs import log_event
+from egretshed.platform.stage_calls import (
+    StageItem,
+    StageItemResult,
+    decode_stage_results,
+    encode_stage_call,
+    encode_stage_free,
+    handle_address,
+)
+from egretshed.retries.shared_budget import SharedRetryBudget
+from egretshed.servers.registry import ServerRegistry
+from egretshed.servers.state import ServerState
+from egretshed.serving.schema import (
+    ServingConfiguration,
+    StageLimits,
+)
+from egretshed.stagework.ledger import ResultLedger
+from egretshed.stagework.queue import (
+    StageServerView,
+    WaitingPiece,
+    call_time_s,
+    choose_batch,
+    choose_server,
+    expected_wait_s,
+)
+from egretshed.upstream.exchange import ExchangeFailed
+from egretshed.upstream.pool import ConnectionPool
+
+# A piece is produced again this often before its request is told that it failed.
+MAX_PIECE_FAILURES = 3
+# A call that takes this many times its expected time, and a moment, is given up.
+CALL_PATIENCE_FACTOR = 4.0
+CALL_PATIENCE_S = 0.6
+# A server that said it was full or out of memory is asked again after this time.
+FULL_PAUSE_S = 0.08
+SLOWNESS_SHARE = 0.3
+MAX_ANSWER_BYTES = 1024 * 1024
+FREE_TIMEOUT_S = 1.0
+# Results to free are collected this long, so that one call frees several.
+FREE_DELAY_S = 0.05
+RETRY_AFTER_MIN_S = 0.2
+
+
+class StageJob(NamedTuple):
+    """The pieces of one stage of one request, as submitted by any node."""
+
+    node_id: str
+    ticket: int
+    request_id: str
+    service: str
+    stage: int
+    segments: tuple[int, ...]
+    piece_key: str
+    inputs: tuple[str, ...]
+    deadline_s: float
+    target_s: float
+    priority: int
+    preferred_domain: str
+    result_bytes: int
+
+    @property
+    def job_id(self) -> tuple[str, int]:
+        return self.node_id, self.ticket
+
+
+class StageOutcome(NamedTuple):
+    """Handles in the order of the job's segments, or the reason for having none."""
+
+    handles: tuple[str, ...] = ()
+    reason: str = ""
+
+
+@dataclass
+class _Running:
+    job: StageJob
+    handles: dict[int, str]
+    on_done: Callable[[StageOutcome], None]
+
+
+class StageOwner:
+    """Queues and calls of the services that this node batches for."""
+
+    def __init__(
+        self,
+        env: Environment,
+        configuration: Callable[[], ServingConfiguration | None],
+        servers: ServerRegistry,
+        pool: ConnectionPool,
+        budget: SharedRetryBudget,
+    ):
+        self.env = env
+        self.configuration = configuration
+        self.servers = servers
+        self.pool = pool
+        self.budget = budget
+        self.ledger = ResultLedger(env)
+        self._jobs: dict[tuple[str, int], _Running] = {}
+        self._queues: dict[str, list[WaitingPiece]] = defaultdict(list)
+        self._calls: dict[str, int] = defaultdict(int)
+        self._slowness: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._to_free: dict[str, list[str]] = defaultdict(list)
+
+    def submit(self, job: StageJob, on_done: Callable[[StageOutcome], None]) -> float:
+        """Queue a job; return when its last piece is expected, in seconds.
+
+        Raises `NotRun` if the job cannot end before its deadline; then nothing runs.
+        """
+        limits = self._limits(job.service)
+        if limits is None:
+            raise NotRun(
+                "no stage service", reason="unknown_service", retry_after_s=0.5
+            )
+        if job.job_id in self._jobs:
+            return 0.0
+        now_s = self.env.clock.monotonic_s()
+        pieces = [
+            WaitingPiece(
+                job.job_id,
+                segment,
+                now_s,
+                now_s + job.deadline_s,
+                now_s + job.target_s,
+                job.priority,
+                job.preferred_domain,
+                min(job.result_bytes, limits.result_room_bytes),
+            )
+            for segment in job.segments
+        ]
+        queue = self._queues[job.service]
+        expected_s = self._expected_s(job, pieces, queue, limits, now_s)
+        if expected_s > job.deadline_s:
+            retry_after_s = max(RETRY_AFTER_MIN_S, expected_s - job.deadline_s)
+            raise NotRun(
+                "stage queue is too long",
+                reason="stage_overload",
+                retry_after_s=round(retry_after_s, 3),
+            )
+        self._jobs[job.job_id] = _Running(job, {}, on_done)
+        queue += pieces
+        self._pump(job.service)
+        return expected_s
+
+    def _expected_s(self, job, pieces, queue, limits, now_s: float) -> float:
+        views = self._views(job.service, limits)
+        wait_s = expected_wait_s(queue, pieces[-1], views, limits, now_s)
+        calls = -(-len(pieces) // limits.batch_items)
+        rounds = -(-calls // max(1, len(views) * limits.slots))
+        in_call = min(len(pieces), limits.batch_items)
+        return wait_s + rounds * call_time_s(limits, in_call)
+
+    def cancel(self, job_id: tuple[str, int]) -> None:
+        """Drop the waiting pieces of a job; a call that runs goes on."""
+        running = self._jobs.pop(job_id, None)
+        if running is None:
+            return
+        queue = self._queues[running.job.service]
+        queue[:] = [piece for piece in queue if piece.ticket != job_id]
+        self.free(list(running.handles.values()))
+
+    def cancel_of_node(self, node_id: str) -> None:
+        """Drop the jobs of a node that has gone."""
+        for job_id in [j for j in self._jobs if j[0] == node_id]:
+            self.cancel(job_id)
+
+    def free(self, handles: list[str]) -> None:
+        """Free results at their makers soon."""
+        for handle in handles:
+            self.ledger.free(handle)
+            address = handle_address(handle)
+            if not self._to_free[address]:
+                self._spawn(self._free_at(address))
+            self._to_free[address].append(handle)
+        for service in self._queues:
+            self._pump(service)
+
+    async def _free_at(self, address: str) -> None:
+        await self.env.clock.sleep(FREE_DELAY_S)
+        handles = self._to_free.pop(address, [])
+        request = encode_stage_free(address, handles)
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_S):
+                await self.pool.fetch(address, request, MAX_ANSWER_BYTES, reuse=True)
+        except (ExchangeFailed, TimeoutError) as error:
+            # The results expire by themselves.
+            log_event(
+                self.env.logger,
+                "results_not_freed",
+                address=address,
+                results=len(handles),
+                error=str(error),
+            )
+
+    def has_work(self) -> bool:
+        """Return whether any job waits or runs here."""
+        return bool(self._jobs)
+
+    async def run(self) -> None:
+        """Notice expired pieces, and servers that are usable again, until cancelled."""
+        while True:
+            await self.env.clock.sleep(FULL_PAUSE_S)
+            for service in list(self._queues):
+                if self._queues[service]:
+                    self._expire(service)
+                    self._pump(service)
+
+    def _expire(self, service: str) -> None:
+        now_s = self.env.clock.monotonic_s()
+        for piece in list(self._queues[service]):
+            if piece.deadline_at_s <= now_s:
+                self._fail(piece.ticket, "late")
+
+    def _limits(self, service: str) -> StageLimits | None:
+        configuration = self.configuration()
+        declared = configuration and configuration.services.get(service)
+        return declared.stage if declared else None
+
+    def _views(self, service: str, limits: StageLimits) -> list[StageServerView]:
+        return [
+            StageServerView(
+                server.server_id,
+                server.failure_domain,
+                self.ledger.room_bytes(server.server_id, limits.result_room_bytes),
+                self._calls[server.server_id],
+                self._slowness.get(server.server_id, 1.0),
+            )
+            for server in self.servers.usable(service)
+        ]
+
+    def _pump(self, service: str) -> None:
+        """Start a call on each server that is free, while pieces wait."""
+        limits = self._limits(service)
+        queue = self._queues[service]
+        if limits is None or not queue:
+            return
+        views = self._views(service, limits)
+        domains = {view.failure_domain for view in views}
+        now_s = self.env.clock.monotonic_s()
+        for view in choose_server(views, limits.slots):
+            batch = choose_batch(queue, view, domains, limits, now_s)
+            if not batch:
+                continue
+            taken = {(piece.ticket, piece.segment) for piece in batch}
+            queue[:] = [p for p in queue if (p.ticket, p.segment) not in taken]
+            self._start_call(service, view, batch, limits)
+
+    def _start_call(self, service, view, batch, limits) -> None:
+        server = self.servers.servers[view.server_id]
+        size_bytes = sum(piece.result_bytes for piece in batch)
+        self._calls[view.server_id] += 1
+        self.ledger.reserve(view.server_id, size_bytes)
+        self._spawn(self._call(service, server, batch, limits, size_bytes))
+
+    async def _call(self, service, server, batch, limits, size_bytes: int) -> None:
+        began_s = self.env.clock.monotonic_s()
+        slowness = self._slowness.get(server.server_id, 1.0)
+        expected_s = call_time_s(limits, len(batch), slowness)
+        outcome = "answered"
+        try:
+            timeout_s = expected_s * CALL_PATIENCE_FACTOR + CALL_PATIENCE_S
+            async with asyncio.timeout(timeout_s):
+                results = await self._ask(server, batch)
+        except _Full:
+            outcome = "full"
+            self.ledger.note_full(server.server_id, FULL_PAUSE_S)
+            self._requeue(service, batch, counts=False)
+        except (BackendError, TimeoutError) as error:
+            outcome = repr(error)
+            server.note_unreachable(self.env.clock.monotonic_s())
+            ran = not isinstance(error, ExchangeFailed) or error.may_have_run
+            self._requeue(service, batch, counts=ran)
+        else:
+            took_s = self.env.clock.monotonic_s() - began_s
+            server.note_answer(True, self.env.clock.monotonic_s())
+            self._note_slowness(server.server_id, limits, len(batch), took_s)
+            self._take_results(service, server, batch, results, limits)
+        finally:
+            self._calls[server.server_id] -= 1
+            self.ledger.release(server.server_id, size_bytes)
+            self._log_call(service, server, batch, began_s, expected_s, outcome)
+        self._pump(service)
+
+    async def _ask(self, server: ServerState, batch) -> list[StageItemResult]:
+        now_s = self.env.clock.monotonic_s()
+        items = [self._item(piece, now_s) for piece in batch]
+        request = encode_stage_call(server.server_id, server.address, items)
+        status, body = await self.pool.fetch(
+            server.address, request, MAX_ANSWER_BYTES, reuse=True
+        )
+        if status == 503:
+            raise _Full()
+        if status != 200:
+            raise ExchangeFailed(f"stage call answered {status}", may_have_run=False)
+        return decode_stage_results(body, len(batch))
+
+    def _item(self, piece: WaitingPiece, now_s: float) -> StageItem:
+        job = self._jobs[piece.ticket].job
+        return StageItem(
+            job.request_id,
+            job.stage,
+            piece.segment,
+            piece.deadline_at_s - now_s,
+            job.piece_key,
+            job.inputs,
+        )
+
+    def _take_results(self, service, server, batch, results, limits) -> None:
+        for piece, result in zip(batch, results, strict=True):
+            if result.handle:
+                self.ledger.add(
+                    server.server_id,
+                    result.handle,
+                    piece.result_bytes,
+                    limits.result_ttl_s,
+                )
+                self._finish_piece(piece, result.handle)
+            elif result.reason in ("late", "gone"):
+                self._fail(piece.ticket, result.reason)
+            elif result.reason == "room":
+                self.ledger.note_full(server.server_id, FULL_PAUSE_S)
+                self._requeue(service, [piece], counts=False)
+            else:
+                self._requeue(service, [piece], counts=True)
+
+    def _finish_piece(self, piece: WaitingPiece, handle: str) -> None:
+        running = self._jobs.get(piece.ticket)
+        if running is None:
+            self.free([handle])
+            return
+        running.handles[piece.segment] = handle
+        if len(running.handles) == len(running.job.segments):
+            del self._jobs[piece.ticket]
+            handles = tuple(running.handles[s] for s in running.job.segments)
+            running.on_done(StageOutcome(handles))
+
+    def _requeue(self, service: str, batch, counts: bool) -> None:
+        for piece in batch:
+            if piece.ticket not in self._jobs:
+                continue
+            failures = piece.failures + int(counts)
+            allowed = failures < MAX_PIECE_FAILURES
+            if allowed and counts:
+                allowed = self.budget.take(service)
+            if allowed:
+                self._queues[service].append(piece._replace(failures=failures))
+            else:
+                self._fail(piece.ticket, "error")
+
+    def _fail(self, job_id: tuple[str, int], reason: str) -> None:
+        running = self._jobs.get(job_id)
+        if running is None:
+            return
+        self.cancel(job_id)
+        running.on_done(StageOutcome((), reason))
+
+    def _note_slowness(self, server_id, limits, pieces: int, took_s: float) -> None:
+        observed = took_s / call_time_s(limits, pieces)
+        known = self._slowness.get(server_id, 1.0)
+        self._slowness[server_id] = known + SLOWNESS_SHARE * (observed - known)
+
+    def _log_call(self, service, server, batch, began_s, expected_s, outcome) -> None:
+        took_s = self.env.clock.monotonic_s() - began_s
+        log_event(
+            self.env.logger,
+            "stage_call",
+            service=service,
+            server_id=server.server_id,
+            pieces=len(batch),
+            request_ids=sorted({piece.ticket[1] for piece in batch})[:4],
+            waiting=len(self._queues[service]),
+            waited_s=round(began_s - min(p.queued_s for p in batch), 3),
+            expected_s=round(expected_s, 3),
+            took_s=round(took_s, 3),
+            outcome=outcome,
+        )
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _Full(BackendError):
+    """The server refused a call and did not run it."""
+
+    code = "stage_server_full"
--- /dev/null
+++ b/egretshed/stagework/queue.py
@@ -0,0 +1,132 @@
+"""Decides which waiting pieces go in the next call to a stage server.
+
+Load pattern: a call costs a fixed time whatever is in it, so that nearly empty calls
+halve the capacity of a stage just when a burst arrives. One node holds all pieces that
+wait for a service; pieces gather while all servers are busy, and a server that becomes
+free gets the most urgent ones, as many as a call may hold and its memory has room for.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from egretshed.serving.schema import StageLimits
+
+# A piece of this size or more goes to the failure domain that will read its result,
+# since results that cross domains are paid for.
+LARGE_RESULT_BYTES = 500_000
+# How long a large piece waits for a server in that domain while another one is free.
+DOMAIN_PATIENCE_S = 0.15
+# A piece with less slack than this takes any server at once.
+DOMAIN_SLACK_S = 0.35
+
+
+class WaitingPiece(NamedTuple):
+    """One piece that waits; times are on the owner's monotonic clock."""
+
+    ticket: tuple[str, int]
+    segment: int
+    queued_s: float
+    deadline_at_s: float
+    target_at_s: float
+    priority: int
+    preferred_domain: str
+    result_bytes: int
+    failures: int = 0
+
+
+class StageServerView(NamedTuple):
+    """What a decision needs to know of one stage server."""
+
+    server_id: str
+    failure_domain: str
+    room_bytes: int
+    running_calls: int
+    slowness: float  # measured call time by declared call time
+
+
+def call_time_s(limits: StageLimits, pieces: int, slowness: float = 1.0) -> float:
+    """Return how long a call with `pieces` pieces takes."""
+    return (limits.call_s + limits.item_s * pieces) * slowness
+
+
+def urgency(piece: WaitingPiece, now_s: float, call_s: float) -> tuple:
+    """Return the sort key of a piece: smaller goes first.
+
+    Within a priority, pieces that can still end on time go before those that cannot,
+    the earliest target first, so that one late request does not make others late.
+    """
+    is_late = now_s + call_s > piece.target_at_s
+    return piece.priority, is_late, piece.target_at_s, piece.queued_s
+
+
+def choose_batch(
+    pieces: Iterable[WaitingPiece],
+    server: StageServerView,
+    usable_domains: set[str],
+    limits: StageLimits,
+    now_s: float,
+) -> list[WaitingPiece]:
+    """Return the pieces for the next call to `server`, most urgent first."""
+    single_s = call_time_s(limits, 1, server.slowness)
+    ordered = sorted(pieces, key=lambda piece: urgency(piece, now_s, single_s))
+    chosen: list[WaitingPiece] = []
+    room_bytes = server.room_bytes
+    for piece in ordered:
+        if len(chosen) == limits.batch_items:
+            break
+        if piece.result_bytes > room_bytes:
+            continue
+        if not _may_go_to(piece, server, usable_domains, now_s, single_s):
+            continue
+        chosen.append(piece)
+        room_bytes -= piece.result_bytes
+    return chosen
+
+
+def _may_go_to(
+    piece: WaitingPiece,
+    server: StageServerView,
+    usable_domains: set[str],
+    now_s: float,
+    call_s: float,
+) -> bool:
+    if piece.result_bytes < LARGE_RESULT_BYTES:
+        return True
+    if piece.preferred_domain in ("", server.failure_domain):
+        return True
+    if piece.preferred_domain not in usable_domains:
+        return True
+    if now_s - piece.queued_s >= DOMAIN_PATIENCE_S:
+        return True
+    return piece.target_at_s - now_s - call_s < DOMAIN_SLACK_S
+
+
+def choose_server(
+    views: Iterable[StageServerView], slots: int
+) -> list[StageServerView]:
+    """Return the servers with a free call slot, the fastest first."""
+    free = [view for view in views if view.running_calls < slots]
+    return sorted(free, key=lambda view: (view.running_calls, view.slowness))
+
+
+def expected_wait_s(
+    pieces: Iterable[WaitingPiece],
+    new: WaitingPiece,
+    views: list[StageServerView],
+    limits: StageLimits,
+    now_s: float,
+) -> float:
+    """Return how long `new` waits before its call starts, if nothing more urgent comes.
+
+    Pieces ahead of it go in full calls, spread over the servers.
+    """
+    if not views:
+        return 0.0
+    call_s = call_time_s(limits, limits.batch_items)
+    key = urgency(new, now_s, call_s)
+    ahead = sum(1 for piece in pieces if urgency(piece, now_s, call_s) < key)
+    capacity = sum(limits.slots / view.slowness for view in views)
+    busy = sum(min(view.running_calls, limits.slots) for view in views)
+    rounds = (ahead // limits.batch_items) / capacity
+    half_call = 0.5 if busy >= len(views) * limits.slots else 0.0
+    return call_s * (rounds + half_call)
