--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -17,8 +17,10 @@
 )
 from egretshed.membership.registered_nodes import RegisteredNodes
 from egretshed.membership.service import MembershipService
+from egretshed.membership.service_owner import ServiceOwners
 from egretshed.peers.network import TcpPeerNetwork
 from egretshed.peers.shared_key import obtain_shared_key
+from egretshed.placement.engines import EnginePlacer
 from egretshed.platform.interface import Platform
 from egretshed.platform.records import (
     MalformedRecord,
@@ -95,7 +97,6 @@
         self.owner = StageOwner(
             env, self._configuration, self.servers, self.pool, self.budget
         )
-        self.placement = Placement(env, self.servers)
         self.directory = Directory(env, lambda: self.membership, self.is_ready)
         self.runner: RelayRunner | None = None
 
@@ -108,15 +109,25 @@
         self.membership.version_source = lambda: self.in_force.version
         followers = {f.table: f for f in (self.operators, self.listed)}
         self.copies = PeerCopies(env, self.peers, self.membership, followers)
-        client = StageClient(env, self.peers, self.membership, self.owner)
-        stages = StageRunner(env, client, self.placement, self.servers)
+        owners = ServiceOwners(env, self.membership)
+        self.placer = EnginePlacer(
+            env, self.peers, owners, self.servers, self._configuration
+        )
+        placement = Placement(env, self.servers, self.placer)
+        client = StageClient(env, self.peers, owners, self.owner)
+        stages = StageRunner(env, client, placement, self.servers)
         attempts = Attempts(
-            env, self.servers, self.placement, stages, self.pool, self.budget
+            env,
+            self.servers,
+            placement,
+            self.placer,
+            stages,
+            self.pool,
+            self.budget,
         )
         self.runner = RelayRunner(
             env,
             lambda: self.in_force.table,
-            self.placement,
             stages,
             attempts,
             self.budget,
@@ -200,6 +211,7 @@
         self._spawn("membership", self.membership.run())
         self._spawn("copies", self.copies.run())
         self._spawn("stages", self.owner.run())
+        self._spawn("placements", self.placer.run())
         self._spawn("expiry", self._expire())
         log_event(
             env.logger,
--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -154,6 +154,12 @@
     code = "stage_failed"
 
 
+class ResultsLost(StageFailed):
+    """Results that the request needs are gone; the server did not run it."""
+
+    code = "results_lost"
+
+
 class DeadlineExceeded(RequestFailed):
     code = "failed"
     http_status = 504
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -46,6 +46,9 @@
     STAGE_FREE = 64
     TABLE_FETCH = 65
     TABLE_ROWS = 66
+    ENGINE_REQUEST = 67
+    ENGINE_CHOICE = 68
+    ENGINE_NOTE = 69
     ACK = 50
     FAILURE = 51
 
@@ -4384,6 +4387,394 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class EngineRequest(object):
+    """
+    Attributes:
+     - ticket
+     - service_name
+     - part_ids
+     - part_tokens
+     - slack_ms
+     - deadline_ms
+     - excluded
+     - domains
+     - domain_bytes
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'service_name',
+        'part_ids',
+        'part_tokens',
+        'slack_ms',
+        'deadline_ms',
+        'excluded',
+        'domains',
+        'domain_bytes',
+    )
+
+
+    def __init__(self, ticket=None, service_name=None, part_ids=None, part_tokens=None, slack_ms=None, deadline_ms=None, excluded=None, domains=None, domain_bytes=None,):
+        self.ticket = ticket
+        self.service_name = service_name
+        self.part_ids = part_ids
+        self.part_tokens = part_tokens
+        self.slack_ms = slack_ms
+        self.deadline_ms = deadline_ms
+        self.excluded = excluded
+        self.domains = domains
+        self.domain_bytes = domain_bytes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.part_ids = []
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.part_ids.append(_elem145)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.part_tokens = []
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = iprot.readI32()
+                        self.part_tokens.append(_elem151)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slack_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.deadline_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem157)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.domains = []
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.domains.append(_elem163)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.domain_bytes = []
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = iprot.readI64()
+                        self.domain_bytes.append(_elem169)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineRequest')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.part_ids is not None:
+            oprot.writeFieldBegin('part_ids', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.part_ids))
+            for iter170 in self.part_ids:
+                oprot.writeString(iter170.encode('utf-8') if sys.version_info[0] == 2 else iter170)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_tokens is not None:
+            oprot.writeFieldBegin('part_tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.part_tokens))
+            for iter171 in self.part_tokens:
+                oprot.writeI32(iter171)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slack_ms is not None:
+            oprot.writeFieldBegin('slack_ms', TType.I32, 5)
+            oprot.writeI32(self.slack_ms)
+            oprot.writeFieldEnd()
+        if self.deadline_ms is not None:
+            oprot.writeFieldBegin('deadline_ms', TType.I32, 6)
+            oprot.writeI32(self.deadline_ms)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter172 in self.excluded:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.domains is not None:
+            oprot.writeFieldBegin('domains', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.domains))
+            for iter173 in self.domains:
+                oprot.writeString(iter173.encode('utf-8') if sys.version_info[0] == 2 else iter173)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.domain_bytes is not None:
+            oprot.writeFieldBegin('domain_bytes', TType.LIST, 9)
+            oprot.writeListBegin(TType.I64, len(self.domain_bytes))
+            for iter174 in self.domain_bytes:
+                oprot.writeI64(iter174)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ticket is None:
+            raise TProtocolException(message='Required field ticket is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.part_ids is None:
+            raise TProtocolException(message='Required field part_ids is unset!')
+        if self.part_tokens is None:
+            raise TProtocolException(message='Required field part_tokens is unset!')
+        if self.slack_ms is None:
+            raise TProtocolException(message='Required field slack_ms is unset!')
+        if self.deadline_ms is None:
+            raise TProtocolException(message='Required field deadline_ms is unset!')
+        if self.excluded is None:
+            raise TProtocolException(message='Required field excluded is unset!')
+        if self.domains is None:
+            raise TProtocolException(message='Required field domains is unset!')
+        if self.domain_bytes is None:
+            raise TProtocolException(message='Required field domain_bytes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineChoice(object):
+    """
+    Attributes:
+     - server_id
+
+    """
+
+    __slots__ = (
+        'server_id',
+    )
+
+
+    def __init__(self, server_id=None,):
+        self.server_id = server_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineChoice')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineNote(object):
+    """
+    Attributes:
+     - ticket
+     - service_name
+     - has_ended
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'service_name',
+        'has_ended',
+    )
+
+
+    def __init__(self, ticket=None, service_name=None, has_ended=None,):
+        self.ticket = ticket
+        self.service_name = service_name
+        self.has_ended = has_ended
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.has_ended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineNote')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.has_ended is not None:
+            oprot.writeFieldBegin('has_ended', TType.BOOL, 3)
+            oprot.writeBool(self.has_ended)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ticket is None:
+            raise TProtocolException(message='Required field ticket is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.has_ended is None:
+            raise TProtocolException(message='Required field has_ended is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4682,5 +5073,30 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 2
 )
+all_structs.append(EngineRequest)
+EngineRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'part_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'part_tokens', (TType.I32, None, False), None, ),  # 4
+    (5, TType.I32, 'slack_ms', None, None, ),  # 5
+    (6, TType.I32, 'deadline_ms', None, None, ),  # 6
+    (7, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.LIST, 'domains', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'domain_bytes', (TType.I64, None, False), None, ),  # 9
+)
+all_structs.append(EngineChoice)
+EngineChoice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(EngineNote)
+EngineNote.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'has_ended', None, None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -11,6 +11,7 @@
   CLAIM_BATCH = 40, CLAIM_REPLY = 41,
   STAGE_SUBMIT = 60, STAGE_ACCEPTED = 61, STAGE_DONE = 62, STAGE_CANCEL = 63,
   STAGE_FREE = 64, TABLE_FETCH = 65, TABLE_ROWS = 66,
+  ENGINE_REQUEST = 67, ENGINE_CHOICE = 68, ENGINE_NOTE = 69,
   ACK = 50, FAILURE = 51,
 }
 
@@ -270,3 +271,28 @@
   1: required i64 version,
   2: required list<TableRow> rows,
 }
+
+// Asks the node that places prompts for an engine.
+struct EngineRequest {
+  1: required i64 ticket,            // unique for the sending incarnation
+  2: required string service_name,
+  3: required list<string> part_ids, // parts of the prompt in order
+  4: required list<i32> part_tokens,
+  5: required i32 slack_ms,          // time left until the first event is late
+  6: required i32 deadline_ms,
+  7: required list<string> excluded, // servers that the sender may not use
+  8: required list<string> domains,  // where stage results lie
+  9: required list<i64> domain_bytes,
+}
+
+// Without a server none can take the request.
+struct EngineChoice {
+  1: optional string server_id,
+}
+
+// What came of a placement: its first event, or its end.
+struct EngineNote {
+  1: required i64 ticket,
+  2: required string service_name,
+  3: required bool has_ended,
+}
--- /dev/null
+++ b/egretshed/placement/engines.py
@@ -0,0 +1,203 @@
+"""Places prompts on engines: one node decides for a service, any node asks it.
+
+If the owner does not answer at once, the next one decides, at last the asking node by
+itself, with what it knows.
+"""
+
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from egretshed.environment import Environment
+from egretshed.errors import (
+    PeerRejected,
+    PeerUnavailable,
+)
+from egretshed.gen.messages.ttypes import (
+    EngineChoice,
+    EngineNote,
+    EngineRequest,
+)
+from egretshed.membership.service_owner import ServiceOwners
+from egretshed.peers.network import (
+    PeerNetwork,
+    Sender,
+)
+from egretshed.placement.engine_book import EngineBook
+from egretshed.placement.engine_choice import (
+    EngineView,
+    PlacementNeeds,
+    choose_engine,
+)
+from egretshed.relay.request import (
+    Prompt,
+    PromptPart,
+)
+from egretshed.servers.registry import ServerRegistry
+from egretshed.serving.schema import ServingConfiguration
+
+# Several one-way delays between failure domains.
+ANSWER_TIMEOUT_S = 0.12
+OWNERS_TRIED = 2
+FORGET_PERIOD_S = 2.0
+
+
+class EngineQuery(NamedTuple):
+    """One request that needs an engine."""
+
+    service: str
+    parts: tuple[PromptPart, ...]
+    slack_s: float
+    deadline_s: float
+    excluded: frozenset[str]
+    bytes_by_domain: dict[str, int]
+
+
+class EnginePlacement(NamedTuple):
+    """Where a request was placed, and who must be told what becomes of it."""
+
+    server_id: str
+    owner: str
+    ticket: int
+    service: str
+
+
+class EnginePlacer:
+    """Asks owners for engines, and answers as an owner."""
+
+    def __init__(
+        self,
+        env: Environment,
+        peers: PeerNetwork,
+        owners: ServiceOwners,
+        servers: ServerRegistry,
+        configuration: Callable[[], ServingConfiguration | None],
+    ):
+        self.env = env
+        self.peers = peers
+        self.owners = owners
+        self.servers = servers
+        self.configuration = configuration
+        self._tickets = itertools.count(env.identity.incarnation)
+        self._books: dict[str, EngineBook] = defaultdict(lambda: EngineBook(env))
+        peers.handle(EngineRequest, self._on_request)
+        peers.handle(EngineNote, self._on_note)
+
+    async def place(self, query: EngineQuery) -> EnginePlacement | None:
+        """Return an engine for a request, or None if none can take it."""
+        own_id = self.env.identity.node_id
+        duty = f"engines/{query.service}"
+        ticket = next(self._tickets)
+        for node_id in self.owners.candidates(duty, OWNERS_TRIED):
+            if node_id == own_id:
+                server_id = self._decide((own_id, ticket), query)
+            else:
+                message = _request(ticket, query)
+                try:
+                    reply = await self.peers.call(node_id, message, ANSWER_TIMEOUT_S)
+                except (PeerUnavailable, PeerRejected) as error:
+                    self.owners.avoid(node_id, duty, str(error))
+                    continue
+                server_id = reply.server_id
+            if server_id and server_id in self.servers.servers:
+                return EnginePlacement(server_id, node_id, ticket, query.service)
+        return None
+
+    def note_first_event(self, placement: EnginePlacement) -> None:
+        self._note(placement, has_ended=False)
+
+    def note_end(self, placement: EnginePlacement) -> None:
+        self._note(placement, has_ended=True)
+
+    def _note(self, placement: EnginePlacement, has_ended: bool) -> None:
+        own_id = self.env.identity.node_id
+        if placement.owner == own_id:
+            self._record(placement.service, (own_id, placement.ticket), has_ended)
+        else:
+            note = EngineNote(placement.ticket, placement.service, has_ended)
+            self.peers.send(placement.owner, note)
+
+    def _record(self, service: str, key: tuple, has_ended: bool) -> None:
+        book = self._books[service]
+        if has_ended:
+            book.note_end(key)
+        else:
+            book.note_first_event(key)
+
+    def _decide(self, key: tuple, query: EngineQuery) -> str | None:
+        configuration = self.configuration()
+        service = configuration and configuration.services.get(query.service)
+        if not service or service.engine is None:
+            return None
+        now_s = self.env.clock.monotonic_s()
+        book = self._books[query.service]
+        views = [
+            EngineView(
+                server.server_id,
+                server.failure_domain,
+                book.backlog_s(server.server_id),
+                book.reading_s(server.server_id, query.parts),
+                book.running(server.server_id),
+                service.engine.slots,
+                book.slowness(server.server_id),
+                server.failure_share,
+                server.is_cold(now_s),
+            )
+            for server in self.servers.usable(query.service)
+            if server.server_id not in query.excluded
+        ]
+        needs = PlacementNeeds(
+            Prompt(query.parts, 0, 0).affinity_key(),
+            query.slack_s,
+            query.bytes_by_domain,
+        )
+        chosen = choose_engine(needs, views)
+        if chosen is None:
+            return None
+        book.place(
+            key,
+            chosen.server_id,
+            query.parts,
+            service.engine.cache_tokens,
+            query.deadline_s,
+        )
+        return chosen.server_id
+
+    async def _on_request(self, sender: Sender, message: EngineRequest) -> EngineChoice:
+        pairs = zip(message.part_ids, message.part_tokens, strict=True)
+        query = EngineQuery(
+            message.service_name,
+            tuple(PromptPart(part_id, tokens) for part_id, tokens in pairs),
+            message.slack_ms / 1000,
+            message.deadline_ms / 1000,
+            frozenset(message.excluded),
+            dict(zip(message.domains, message.domain_bytes, strict=True)),
+        )
+        return EngineChoice(self._decide((sender.node_id, message.ticket), query))
+
+    async def _on_note(self, sender: Sender, message: EngineNote) -> None:
+        key = (sender.node_id, message.ticket)
+        self._record(message.service_name, key, message.has_ended)
+
+    async def run(self) -> None:
+        """Forget engines that have gone, until cancelled."""
+        while True:
+            await self.env.clock.sleep(FORGET_PERIOD_S)
+            for service, book in self._books.items():
+                listed = self.servers.of_service(service)
+                book.forget({server.server_id for server in listed})
+
+
+def _request(ticket: int, query: EngineQuery) -> EngineRequest:
+    return EngineRequest(
+        ticket,
+        query.service,
+        [part.part_id for part in query.parts],
+        [part.tokens for part in query.parts],
+        int(query.slack_s * 1000),
+        int(query.deadline_s * 1000),
+        sorted(query.excluded),
+        list(query.bytes_by_domain),
+        list(query.bytes_by_domain.values()),
+    )
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -11,6 +11,7 @@
     BackendError,
     NotRun,
     RequestFailed,
+    ResultsLost,
     ServerRefusedWork,
 )
 from egretshed.logs import log_event
@@ -18,6 +19,10 @@
     decode_answer,
     encode_forward,
 )
+from egretshed.placement.engines import (
+    EnginePlacement,
+    EnginePlacer,
+)
 from egretshed.relay.events import EventSplitter
 from egretshed.relay.next_step import (
     AttemptHistory,
@@ -54,6 +59,8 @@
 PAUSE_PATIENCE = 2.5
 PAUSE_PATIENCE_MIN_S = 0.8
 MISDIRECTED = 421
+# The engine found that a result that it needs is no longer kept.
+RESULTS_GONE = 409
 # Statuses that promise that a request did not run; only the server's own proof counts.
 UNTRUE_STATUSES = frozenset({408, 421, 429, 503})
 # A server that was full gets no work of this node for a moment.
@@ -69,6 +76,7 @@
         env: Environment,
         servers: ServerRegistry,
         placement: Placement,
+        placer: EnginePlacer,
         stages: StageRunner,
         pool: ConnectionPool,
         budget: SharedRetryBudget,
@@ -76,30 +84,33 @@
         self.env = env
         self.servers = servers
         self.placement = placement
+        self.placer = placer
         self.stages = stages
         self.pool = pool
         self.budget = budget
 
     async def run(self, work: Work, service: Service) -> None:
-        """Answer the caller; raises `NotRun` or `RequestFailed`."""
+        """Answer the caller; raises `NotRun`, `ResultsLost` or `RequestFailed`."""
         while True:
-            server = self._choose(work, service)
+            server, placement = await self._choose(work, service)
             try:
-                await self._attempt(work, service, server)
+                await self._attempt(work, server, placement)
                 return
             except BackendError as failure:
                 self._after_failure(work, service, server, failure)
+            finally:
+                if placement is not None:
+                    self.placer.note_end(placement)
 
-    def _choose(self, work: Work, service: Service) -> ServerState:
-        server = self.placement.choose(
-            work, service, work.tried, self.stages.bytes_by_domain(work)
-        )
-        if server is None and work.tried:
+    async def _choose(
+        self, work: Work, service: Service
+    ) -> tuple[ServerState, EnginePlacement | None]:
+        sizes = self.stages.bytes_by_domain(work)
+        chosen = await self.placement.choose(work, service, work.tried, sizes)
+        if chosen is None and work.tried:
             # Every server was tried; one of them may have room by now.
-            server = self.placement.choose(
-                work, service, set(), self.stages.bytes_by_domain(work)
-            )
-        if server is None:
+            chosen = await self.placement.choose(work, service, set(), sizes)
+        if chosen is None:
             if work.may_have_run:
                 raise RequestFailed("no server is left", reason="no_server")
             raise NotRun(
@@ -107,8 +118,8 @@
                 reason="no_server",
                 retry_after_s=RETRY_AFTER_S,
             )
-        self.servers.take_cold_share(server, service.cold_requests_per_s)
-        return server
+        self.servers.take_cold_share(chosen[0], service.cold_requests_per_s)
+        return chosen
 
     def _after_failure(
         self, work: Work, service: Service, server: ServerState, failure: BackendError
@@ -155,31 +166,29 @@
             outcome=step.value,
         )
 
-    async def _attempt(self, work: Work, service: Service, server: ServerState) -> None:
+    async def _attempt(
+        self, work: Work, server: ServerState, placement: EnginePlacement | None
+    ) -> None:
         began_s = self.env.clock.monotonic_s()
-        prompt = work.request.prompt
-        reading_s = self.placement.reading_s(server, prompt) if prompt else 0.0
         server.running += 1
-        server.outstanding_prompt_s += reading_s
-        read = _Once(lambda: self._note_read(server, reading_s))
-        exchange = None
+        exchange = fetched = None
         try:
             exchange = await self._send(work, server)
-            await self._answer(work, server, exchange, began_s, read)
-        except ServerRefusedWork:
+            if work.stage_results:
+                fetched = asyncio.create_task(self.stages.release_when_fetched(work))
+            await self._answer(work, server, exchange, began_s, placement)
+        except (ServerRefusedWork, ResultsLost):
             raise
         except BackendError as failure:
             self._note_failure(server, failure)
             raise
         finally:
-            read()
             server.running -= 1
+            if fetched is not None:
+                fetched.cancel()
             if exchange is not None:
                 exchange.close()
 
-    def _note_read(self, server: ServerState, reading_s: float) -> None:
-        server.outstanding_prompt_s = max(0.0, server.outstanding_prompt_s - reading_s)
-
     def _note_failure(self, server: ServerState, failure: BackendError) -> None:
         now_s = self.env.clock.monotonic_s()
         if not failure.may_have_run:
@@ -205,7 +214,7 @@
         return exchange
 
     async def _answer(
-        self, work: Work, server: ServerState, exchange: Exchange, began_s, read
+        self, work: Work, server: ServerState, exchange: Exchange, began_s, placement
     ) -> None:
         """Relay the server's answer to the caller."""
         patience_s = self._head_patience_s(work, server)
@@ -218,6 +227,8 @@
             raise ExchangeFailed("answer to another request", may_have_run=True)
         if answer.proves_not_run:
             work.ran_on -= 1
+            if answer.status == RESULTS_GONE and work.stage_results:
+                raise ResultsLost("a stage result is gone", reason="results_gone")
             self._note_refusal(server, answer, now_s)
             raise ServerRefusedWork(
                 f"server answered {answer.status}",
@@ -229,7 +240,7 @@
         if not work.route.is_stream or not answer.is_success:
             await self._relay_whole(work, server, exchange, answer, began_s)
             return
-        await self._relay_stream(work, server, exchange, answer, read)
+        await self._relay_stream(work, server, exchange, answer, placement)
 
     def _note_refusal(
         self, server: ServerState, answer: ServerAnswer, now_s: float
@@ -274,7 +285,7 @@
         )
 
     async def _relay_stream(
-        self, work: Work, server: ServerState, exchange: Exchange, answer, read
+        self, work: Work, server: ServerState, exchange: Exchange, answer, placement
     ) -> None:
         if not work.reply.is_started:
             self._check_answer(answer, work)
@@ -289,24 +300,28 @@
             whole = splitter.feed(chunk)
             if not whole:
                 continue
-            read()
-            await self._forward(work, server, answer, whole)
+            await self._forward(work, answer, whole, placement)
             work.last_event_id = splitter.last_event_id or work.last_event_id
             patience_s = self._pause_patience_s(work)
         if splitter.rest():
-            await self._forward(work, server, answer, splitter.rest())
+            await self._forward(work, answer, splitter.rest(), placement)
         if not work.reply.is_started:
             work.reply.start(answer.status, list(answer.headers))
         server.note_answer(True, self.env.clock.monotonic_s())
         work.reply.finish()
 
     async def _forward(
-        self, work: Work, server: ServerState, answer: ServerAnswer, events: bytes
+        self,
+        work: Work,
+        answer: ServerAnswer,
+        events: bytes,
+        placement: EnginePlacement | None,
     ) -> None:
         if work.first_event_s is None:
             work.first_event_s = self.env.clock.monotonic_s()
-            if work.request.prompt is not None:
-                self.placement.note_read(server, work.request.prompt)
+        if placement is not None and not work.first_event_noted:
+            work.first_event_noted = True
+            self.placer.note_first_event(placement)
             # The engine has fetched the results that it needs.
             self.stages.release(work)
         if not work.reply.is_started:
@@ -341,16 +356,3 @@
     def _may_resume(self, work: Work) -> bool:
         route = work.route
         return route.is_resumable and work.ran_on < route.max_attempts
-
-
-class _Once:
-    """Calls a function the first time only."""
-
-    def __init__(self, function):
-        self.function = function
-        self.called = False
-
-    def __call__(self) -> None:
-        if not self.called:
-            self.called = True
-            self.function()
--- a/egretshed/relay/placement.py
+++ b/egretshed/relay/placement.py
@@ -1,80 +1,60 @@
 """Gathers what is known of the servers of a service and asks the placement decisions."""
 
-from collections import OrderedDict
-
 from egretshed.environment import Environment
-from egretshed.relay.request import Prompt
-from egretshed.relay.work import Work
-from egretshed.routing.engine_placement import (
-    PROMPT_TOKENS_PER_S,
-    EngineCandidate,
-    PromptCost,
-    choose_engine,
-    engine_order,
+from egretshed.placement.engine_choice import engine_order
+from egretshed.placement.engines import (
+    EnginePlacement,
+    EnginePlacer,
+    EngineQuery,
 )
-from egretshed.routing.plain_placement import (
+from egretshed.placement.plain_choice import (
     PlainCandidate,
     choose_plain,
 )
+from egretshed.relay.work import Work
 from egretshed.servers.registry import ServerRegistry
 from egretshed.servers.state import ServerState
 from egretshed.serving.schema import Service
 
-# Shared parts remembered an engine; the least recently used ones are forgotten.
-REMEMBERED_PARTS = 64
-# A backlog that other nodes reported is older than this node's own sends.
-PROMPT_S_PER_WAITING = 0.08
-
 
 class Placement:
-    """Chooses the server of each attempt and remembers where prompts were read."""
+    """Chooses the server of each attempt."""
 
-    def __init__(self, env: Environment, servers: ServerRegistry):
+    def __init__(self, env: Environment, servers: ServerRegistry, placer: EnginePlacer):
         self.env = env
         self.servers = servers
-        self._parts: dict[str, OrderedDict[str, None]] = {}
+        self.placer = placer
 
-    def choose(
+    async def choose(
         self,
         work: Work,
         service: Service,
         tried: set[str],
         bytes_by_domain: dict[str, int],
-    ) -> ServerState | None:
+    ) -> tuple[ServerState, EnginePlacement | None] | None:
         """Return the server for the next attempt, or None if none can take it."""
-        usable = self._usable(work, service, tried)
+        usable = self.usable(work, service, tried)
         if not usable:
             return None
-        if service.engine is not None and work.request.prompt is not None:
-            return self._engine(work.request.prompt, usable, service, bytes_by_domain)
-        return self._plain(usable)
+        if service.engine is None or work.request.prompt is None:
+            return self._plain(usable), None
+        return await self._engine(work, service, usable, bytes_by_domain)
 
     def home_domain(self, work: Work, service: Service) -> str:
         """Return the failure domain of the engine that a prompt prefers, or ""."""
         prompt = work.request.prompt
         if prompt is None:
             return ""
-        usable = {s.server_id: s for s in self._usable(work, service, set())}
+        usable = {s.server_id: s for s in self.usable(work, service, set())}
         order = engine_order(prompt.affinity_key(), usable)
         return usable[order[0]].failure_domain if order else ""
 
-    def note_read(self, server: ServerState, prompt: Prompt) -> None:
-        """Remember that an engine has read a prompt's shared part."""
-        parts = self._parts.setdefault(server.server_id, OrderedDict())
-        parts[prompt.affinity_key()] = None
-        parts.move_to_end(prompt.affinity_key())
-        while len(parts) > REMEMBERED_PARTS:
-            parts.popitem(last=False)
-
-    def _usable(self, work: Work, service: Service, tried) -> list[ServerState]:
+    def usable(self, work: Work, service: Service, tried) -> list[ServerState]:
+        """Return the servers that this node may send the request to now."""
         found = self.servers.usable(service.name, work.route.regions)
         if not found:
             # A server that could not be reached lately is better than a refusal.
-            found = [
-                server
-                for server in self.servers.of_service(service.name)
-                if self.servers.may_be_last_resort(server)
-            ]
+            found = self.servers.last_resort(service.name, work.route.regions)
         rate_per_s = service.cold_requests_per_s
         return [
             server
@@ -101,50 +81,24 @@
         ]
         return by_id[choose_plain(candidates, self.env.random).server_id]
 
-    def _engine(
-        self, prompt: Prompt, usable, service: Service, bytes_by_domain
-    ) -> ServerState:
+    async def _engine(
+        self, work: Work, service: Service, usable, bytes_by_domain
+    ) -> tuple[ServerState, EnginePlacement | None]:
         now_s = self.env.clock.monotonic_s()
         by_id = {server.server_id: server for server in usable}
-        key = prompt.affinity_key()
-        home = engine_order(key, by_id)[0]
-        cost = PromptCost(
-            key,
-            prompt.shared_tokens(),
-            max(0, prompt.prompt_tokens - prompt.shared_tokens()),
+        listed = self.servers.of_service(service.name)
+        query = EngineQuery(
+            service.name,
+            work.request.prompt.parts,
+            work.target_at_s - now_s,
+            work.remaining_s(now_s),
+            frozenset(s.server_id for s in listed if s.server_id not in by_id),
+            bytes_by_domain,
         )
-        candidates = [
-            EngineCandidate(
-                server.server_id,
-                server.failure_domain,
-                self._backlog_s(server, now_s),
-                self._running(server, now_s),
-                service.engine.slots,
-                server.failure_share,
-                1.0,
-                server.server_id == home
-                or key in self._parts.get(server.server_id, ()),
-                server.is_cold(now_s),
-            )
-            for server in usable
-        ]
-        chosen = choose_engine(cost, candidates, bytes_by_domain)
-        return by_id[chosen.server_id]
-
-    def _backlog_s(self, server: ServerState, now_s: float) -> float:
-        own_s = server.outstanding_prompt_s
-        if server.reported_load is None or now_s - server.reported_at_s > 1.0:
-            return own_s
-        return max(own_s, server.reported_load[1] * PROMPT_S_PER_WAITING)
-
-    def _running(self, server: ServerState, now_s: float) -> int:
-        if server.reported_load is None or now_s - server.reported_at_s > 1.0:
-            return server.running
-        return max(server.running, sum(server.reported_load[:2]))
-
-    def reading_s(self, server: ServerState, prompt: Prompt) -> float:
-        """Return how long an engine reads what it does not keep of a prompt."""
-        known = prompt.affinity_key() in self._parts.get(server.server_id, ())
-        own = max(0, prompt.prompt_tokens - prompt.shared_tokens())
-        tokens = own if known else prompt.prompt_tokens
-        return tokens / PROMPT_TOKENS_PER_S
+        placement = await self.placer.place(query)
+        if placement is not None and placement.server_id in by_id:
+            return by_id[placement.server_id], placement
+        if placement is not None:
+            self.placer.note_end(placement)
+        order = engine_order(work.request.prompt.affinity_key(), by_id)
+        return by_id[order[0]], None
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -17,6 +17,7 @@
     NotFound,
     NotRun,
     RequestFailed,
+    ResultsLost,
     StageFailed,
     Unauthorized,
 )
@@ -30,7 +31,6 @@
     encode_refusal,
 )
 from egretshed.relay.attempt import Attempts
-from egretshed.relay.placement import Placement
 from egretshed.relay.request import CallerRequest
 from egretshed.relay.stages import StageRunner
 from egretshed.relay.work import (
@@ -56,14 +56,12 @@
         self,
         env: Environment,
         table: Callable[[], RouteTable | None],
-        placement: Placement,
         stages: StageRunner,
         attempts: Attempts,
         budget: SharedRetryBudget,
     ):
         self.env = env
         self.table = table
-        self.placement = placement
         self.stages = stages
         self.attempts = attempts
         self.budget = budget
@@ -151,18 +149,35 @@
     async def _serve(self, work: Work) -> None:
         service = self._service(work)
         self.budget.note_request(service.name)
-        if work.route.stages:
+        try:
+            await self._run_stages(work, service)
             try:
-                await self.stages.run(work, service)
-            except StageFailed as error:
-                # The pieces may be produced again; the request itself was not sent.
-                raise NotRun(
-                    error.message,
-                    reason=f"stage_{error.fields.get('reason', 'failed')}",
-                    retry_after_s=RETRY_AFTER_S,
-                ) from error
+                await self.attempts.run(work, service)
+            except ResultsLost as error:
+                # The results expired at their makers; they are produced once more.
+                if not self.budget.take(service.name):
+                    raise
+                log_event(
+                    self.env.logger,
+                    "stages_repeated",
+                    request_id=work.request.request_id,
+                    reason=error.message,
+                )
+                self.stages.release(work)
+                await self._run_stages(work, service)
+                await self.attempts.run(work, service)
+        except StageFailed as error:
+            # The pieces may be produced again; the request itself was not sent.
+            raise NotRun(
+                error.message,
+                reason=f"stage_{error.fields.get('reason', 'failed')}",
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+
+    async def _run_stages(self, work: Work, service: Service) -> None:
+        if work.route.stages:
+            await self.stages.run(work, service)
             work.stages_done_s = self.env.clock.monotonic_s()
-        await self.attempts.run(work, service)
 
     def _service(self, work: Work) -> Service:
         service = self.table().configuration.services.get(work.service)
--- a/egretshed/relay/stages.py
+++ b/egretshed/relay/stages.py
@@ -20,6 +20,8 @@
 
 # Time that a request keeps for its model engine when its stages are planned.
 ENGINE_TIME_S = 0.25
+# Engines fetch the results when a request arrives, before they read its prompt.
+FETCH_S = 0.15
 
 
 class StageRunner:
@@ -56,17 +58,22 @@
             async with asyncio.TaskGroup() as group:
                 for plan in plans:
                     group.create_task(
-                        self._run_stage(work, context, plan, results, finished)
+                        self._run_stage(work, context, plan, plans, results, finished)
                     )
         except* Exception as failures:
             raise _first(failures) from failures
         work.stage_results = sink_results(
             work.route, work.request.piece_counts, results
         )
-        self._free_inner(work, plans)
 
     async def _run_stage(
-        self, work: Work, context: StageContext, plan: StagePlan, results, finished
+        self,
+        work: Work,
+        context: StageContext,
+        plan: StagePlan,
+        plans,
+        results,
+        finished,
     ) -> None:
         for index in plan.after:
             await finished[index].wait()
@@ -76,13 +83,26 @@
         known = work.results_by_service.get(plan.service, ())
         work.results_by_service[plan.service] = known + handles
         finished[plan.index].set()
+        self._free_used(work, plan, plans, results)
 
-    def _free_inner(self, work: Work, plans: list[StagePlan]) -> None:
-        """Free the results that only other stages needed."""
-        needed = set(work.stage_results)
-        for service, handles in work.results_by_service.items():
-            self.client.free(service, tuple(h for h in handles if h not in needed))
-            work.results_by_service[service] = tuple(h for h in handles if h in needed)
+    def _free_used(self, work: Work, done: StagePlan, plans, results) -> None:
+        """Free what only `done` and stages before it needed; room there is scarce."""
+        by_index = {plan.index: plan for plan in plans}
+        for index in done.after:
+            followers = [plan for plan in plans if index in plan.after]
+            if all(plan.index in results for plan in followers):
+                self._free(work, by_index[index].service, results[index])
+
+    def _free(self, work: Work, service: str, handles: tuple[str, ...]) -> None:
+        held = work.results_by_service.get(service, ())
+        kept = tuple(handle for handle in held if handle not in handles)
+        work.results_by_service[service] = kept
+        self.client.free(service, handles)
+
+    async def release_when_fetched(self, work: Work) -> None:
+        """Free the results once the engine has had the time to fetch them."""
+        await self.env.clock.sleep(FETCH_S)
+        self.release(work)
 
     def release(self, work: Work) -> None:
         """Free all results that the request still holds."""
--- a/egretshed/relay/work.py
+++ b/egretshed/relay/work.py
@@ -39,6 +39,7 @@
     results_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
     last_event_id: str = ""
     first_event_s: float | None = None
+    first_event_noted: bool = False
     stages_done_s: float | None = None
     server_id: str = ""
     outcome: str = ""
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -110,18 +110,28 @@
             if server.may_get_work(now_s)
             and not self.is_evacuated(server.failure_domain)
         ]
-        if regions:
-            of_domain = self.env.settings.failure_domain_regions
-            found = [s for s in found if of_domain.get(s.failure_domain) in regions]
-        return found
-
-    def may_be_last_resort(self, server: ServerState) -> bool:
-        """Return whether a server is usable but for failed connections."""
-        return (
-            not server.is_gone
+        return self._in_regions(found, regions)
+
+    def last_resort(
+        self, service: str, regions: tuple[str, ...] = ()
+    ) -> list[ServerState]:
+        """Return the servers that are usable but for failed connections."""
+        found = [
+            server
+            for server in self.of_service(service)
+            if not server.is_gone
             and server.listed.phase is ServerPhase.READY
             and not self.is_evacuated(server.failure_domain)
-        )
+        ]
+        return self._in_regions(found, regions)
+
+    def _in_regions(
+        self, servers: list[ServerState], regions: tuple[str, ...]
+    ) -> list[ServerState]:
+        if not regions:
+            return servers
+        of_domain = self.env.settings.failure_domain_regions
+        return [s for s in servers if of_domain.get(s.failure_domain) in regions]
 
     def take_cold_share(self, server: ServerState, rate_per_s: float) -> bool:
         """Return whether this node may send one request to a cold server now."""
--- a/egretshed/stagework/client.py
+++ b/egretshed/stagework/client.py
@@ -9,8 +9,6 @@
 import itertools
 from typing import NamedTuple
 
-import xxhash
-
 from egretshed.environment import Environment
 from egretshed.errors import (
     NotRun,
@@ -25,8 +23,7 @@
     StageFree,
     StageSubmit,
 )
-from egretshed.logs import log_event
-from egretshed.membership.service import MembershipService
+from egretshed.membership.service_owner import ServiceOwners
 from egretshed.peers.network import (
     PeerNetwork,
     Sender,
@@ -40,13 +37,10 @@
 
 # An owner that lives accepts within a few milliseconds; a frozen one does not.
 ACCEPT_TIMEOUT_S = 0.2
-# An owner that did not accept is passed over this long.
-AVOID_OWNER_S = 1.0
 OWNERS_TRIED = 2
-# Time beyond the expected one after which a silent owner is given up.
-SILENCE_FACTOR = 1.6
-SILENCE_S = 0.6
-LIVENESS_POLL_S = 0.1
+# A waiting node asks the owner again after this time, whether it still has the job.
+CONFIRM_PERIOD_S = 0.6
+CONFIRM_MIN_S = 0.2
 
 
 class StageContext(NamedTuple):
@@ -67,38 +61,21 @@
         self,
         env: Environment,
         peers: PeerNetwork,
-        membership: MembershipService,
+        owners: ServiceOwners,
         owner: StageOwner,
     ):
         self.env = env
         self.peers = peers
-        self.membership = membership
+        self.owners = owners
         self.owner = owner
         # Starts above the tickets of this node's earlier incarnations.
         self._tickets = itertools.count(env.identity.incarnation)
         self._waiting: dict[int, asyncio.Future[StageOutcome]] = {}
-        self._avoid_until_s: dict[str, float] = {}
         peers.handle(StageSubmit, self._on_submit)
         peers.handle(StageDone, self._on_done)
         peers.handle(StageCancel, self._on_cancel)
         peers.handle(StageFree, self._on_free)
 
-    def owners(self, service: str) -> list[str]:
-        """Return the nodes that may batch for a service, the first choice first."""
-        now_s = self.env.clock.monotonic_s()
-        own_id = self.env.identity.node_id
-        usable = [
-            member.node_id
-            for member in self.membership.reachable()
-            if not member.leaving
-            and now_s >= self._avoid_until_s.get(member.node_id, 0.0)
-        ]
-        ranked = sorted(
-            set(usable) | {own_id},
-            key=lambda node_id: xxhash.xxh64_intdigest(f"{service}/{node_id}".encode()),
-        )
-        return ranked
-
     async def run_stage(
         self, context: StageContext, plan: StagePlan, inputs: tuple[str, ...]
     ) -> tuple[str, ...]:
@@ -108,10 +85,8 @@
         failed.
         """
         own_id = self.env.identity.node_id
-        candidates = self.owners(plan.service)[:OWNERS_TRIED]
-        if own_id not in candidates:
-            candidates.append(own_id)
-        for node_id in candidates:
+        duty = _duty(plan.service)
+        for node_id in self.owners.candidates(duty, OWNERS_TRIED):
             job = self._job(context, plan, inputs)
             try:
                 if node_id == own_id:
@@ -119,7 +94,7 @@
                 else:
                     outcome = await self._run_at(node_id, job)
             except (PeerUnavailable, PeerRejected) as error:
-                self._avoid(node_id, plan.service, str(error))
+                self.owners.avoid(node_id, duty, str(error))
                 continue
             if outcome.reason:
                 raise StageFailed(
@@ -134,7 +109,7 @@
         """Free results that are needed no more."""
         if not handles:
             return
-        node_id = self.owners(service)[0]
+        node_id = self.owners.ranked(_duty(service))[0]
         if node_id == self.env.identity.node_id:
             self.owner.free(list(handles))
         else:
@@ -171,48 +146,30 @@
         done: asyncio.Future[StageOutcome] = asyncio.get_running_loop().create_future()
         self._waiting[job.ticket] = done
         try:
-            reply = await self.peers.call(node_id, _submit(job), ACCEPT_TIMEOUT_S)
-            if reply.retry_after_ms is not None:
-                raise NotRun(
-                    "stage queue is too long",
-                    reason="stage_overload",
-                    retry_after_s=reply.retry_after_ms / 1000,
-                )
-            limit_s = reply.expected_ms / 1000 * SILENCE_FACTOR + SILENCE_S
-            return await self._await_done(node_id, done, limit_s)
+            while not done.done():
+                wait_s = await self._submit_to(node_id, job)
+                await asyncio.wait({done}, timeout=wait_s)
+            return done.result()
         except (asyncio.CancelledError, PeerUnavailable):
             self.peers.send(node_id, StageCancel(job.ticket))
             raise
         finally:
             self._waiting.pop(job.ticket, None)
 
-    async def _await_done(
-        self, node_id: str, done: asyncio.Future, limit_s: float
-    ) -> StageOutcome:
-        member = self.membership.member(node_id)
-        incarnation = member.incarnation if member else 0
-        until_s = self.env.clock.monotonic_s() + limit_s
-        while self.env.clock.monotonic_s() < until_s:
-            finished, _ = await asyncio.wait({done}, timeout=LIVENESS_POLL_S)
-            if finished:
-                return done.result()
-            member = self.membership.member(node_id)
-            if member is None or not member.is_reachable:
-                break
-            if member.incarnation != incarnation:
-                break
-        raise PeerUnavailable("owner fell silent", node_id=node_id)
+    async def _submit_to(self, node_id: str, job: StageJob) -> float:
+        """Submit a job, or ask for one again; return when to ask the next time.
 
-    def _avoid(self, node_id: str, service: str, reason: str) -> None:
-        until_s = self.env.clock.monotonic_s() + AVOID_OWNER_S
-        self._avoid_until_s[node_id] = until_s
-        log_event(
-            self.env.logger,
-            "stage_owner_avoided",
-            owner=node_id,
-            service=service,
-            reason=reason,
-        )
+        An owner that has the job already only confirms it, so that asking again finds
+        out whether it lives, and whether its result was lost on the way.
+        """
+        reply = await self.peers.call(node_id, _submit(job), ACCEPT_TIMEOUT_S)
+        if reply.retry_after_ms is not None:
+            raise NotRun(
+                "stage queue is too long",
+                reason="stage_overload",
+                retry_after_s=reply.retry_after_ms / 1000,
+            )
+        return min(CONFIRM_PERIOD_S, reply.expected_ms / 1000 + CONFIRM_MIN_S)
 
     async def _on_submit(self, sender: Sender, message: StageSubmit) -> StageAccepted:
         job = StageJob(
@@ -269,3 +226,7 @@
         job.preferred_domain,
         job.result_bytes,
     )
+
+
+def _duty(service: str) -> str:
+    return f"stages/{service}"
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
-from collections import defaultdict
+from collections import (
+    OrderedDict,
+    defaultdict,
+)
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -51,6 +54,10 @@
 # A server that said it was full or out of memory is asked again after this time.
 FULL_PAUSE_S = 0.08
 SLOWNESS_SHARE = 0.3
+# Outcomes kept for submitters that did not get them.
+FINISHED_KEPT = 256
+# When a submitter that asked again should ask the next time.
+CONFIRMED_AGAIN_S = 0.4
 MAX_ANSWER_BYTES = 1024 * 1024
 FREE_TIMEOUT_S = 1.0
 # Results to free are collected this long, so that one call frees several.
@@ -116,6 +123,7 @@
         self._calls: dict[str, int] = defaultdict(int)
         self._slowness: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._finished: OrderedDict[tuple[str, int], StageOutcome] = OrderedDict()
         self._to_free: dict[str, list[str]] = defaultdict(list)
 
     def submit(self, job: StageJob, on_done: Callable[[StageOutcome], None]) -> float:
@@ -129,6 +137,9 @@
                 "no stage service", reason="unknown_service", retry_after_s=0.5
             )
         if job.job_id in self._jobs:
+            return CONFIRMED_AGAIN_S
+        if job.job_id in self._finished:
+            on_done(self._finished[job.job_id])
             return 0.0
         now_s = self.env.clock.monotonic_s()
         pieces = [
@@ -348,7 +359,14 @@
         if len(running.handles) == len(running.job.segments):
             del self._jobs[piece.ticket]
             handles = tuple(running.handles[s] for s in running.job.segments)
-            running.on_done(StageOutcome(handles))
+            self._report(running, StageOutcome(handles))
+
+    def _report(self, running: _Running, outcome: StageOutcome) -> None:
+        """Tell the submitter; it may ask again if the message is lost."""
+        self._finished[running.job.job_id] = outcome
+        while len(self._finished) > FINISHED_KEPT:
+            self._finished.popitem(last=False)
+        running.on_done(outcome)
 
     def _requeue(self, service: str, batch, counts: bool) -> None:
         for piece in batch:
@@ -368,7 +386,7 @@
         if running is None:
             return
         self.cancel(job_id)
-        running.on_done(StageOutcome((), reason))
+        self._report(running, StageOutcome((), reason))
 
     def _note_slowness(self, server_id, limits, pieces: int, took_s: float) -> None:
         observed = took_s / call_time_s(limits, pieces)
--- a/egretshed/stagework/queue.py
+++ b/egretshed/stagework/queue.py
@@ -15,7 +15,7 @@
 # since results that cross domains are paid for.
 LARGE_RESULT_BYTES = 500_000
 # How long a large piece waits for a server in that domain while another one is free.
-DOMAIN_PATIENCE_S = 0.15
+DOMAIN_PATIENCE_S = 0.4
 # A piece with less slack than this takes any server at once.
 DOMAIN_SLACK_S = 0.35
 
