Begin stage jobs only while result memory suffices

Cause: jobs that each held a part of the makers' memory waited for one another; each registry piece fetched all its inputs across failure domains. Change: jobs start by memory, pieces stay near their inputs; results are freed when used.

--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -3527,6 +3527,7 @@
      - priority
      - preferred_domain
      - result_bytes
+     - far_bytes
 
     """
 
@@ -3543,10 +3544,11 @@
         'priority',
         'preferred_domain',
         'result_bytes',
+        'far_bytes',
     )
 
 
-    def __init__(self, ticket=None, request_id=None, service_name=None, stage=None, segments=None, piece_key=None, inputs=None, deadline_ms=None, target_ms=None, priority=None, preferred_domain=None, result_bytes=None,):
+    def __init__(self, ticket=None, request_id=None, service_name=None, stage=None, segments=None, piece_key=None, inputs=None, deadline_ms=None, target_ms=None, priority=None, preferred_domain=None, result_bytes=None, far_bytes=None,):
         self.ticket = ticket
         self.request_id = request_id
         self.service_name = service_name
@@ -3559,6 +3561,7 @@
         self.priority = priority
         self.preferred_domain = preferred_domain
         self.result_bytes = result_bytes
+        self.far_bytes = far_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3639,6 +3642,11 @@
                     self.result_bytes = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.far_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3703,6 +3711,10 @@
             oprot.writeFieldBegin('result_bytes', TType.I64, 12)
             oprot.writeI64(self.result_bytes)
             oprot.writeFieldEnd()
+        if self.far_bytes is not None:
+            oprot.writeFieldBegin('far_bytes', TType.I64, 13)
+            oprot.writeI64(self.far_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3729,6 +3741,8 @@
             raise TProtocolException(message='Required field preferred_domain is unset!')
         if self.result_bytes is None:
             raise TProtocolException(message='Required field result_bytes is unset!')
+        if self.far_bytes is None:
+            raise TProtocolException(message='Required field far_bytes is unset!')
         return
 
     def __repr__(self):
@@ -5028,6 +5042,7 @@
     (10, TType.I32, 'priority', None, None, ),  # 10
     (11, TType.STRING, 'preferred_domain', 'UTF8', None, ),  # 11
     (12, TType.I64, 'result_bytes', None, None, ),  # 12
+    (13, TType.I64, 'far_bytes', None, None, ),  # 13
 )
 all_structs.append(StageAccepted)
 StageAccepted.thrift_spec = (
--- a/egretshed/ingress/directory.py
+++ b/egretshed/ingress/directory.py
@@ -1,4 +1,4 @@
-"""Tells callers which nodes to connect to, and the platform whether this node serves."""
+"""Tells callers where to connect, and the platform whether this node serves."""
 
 from collections.abc import Callable
 
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -230,6 +230,7 @@
   10: required i32 priority,
   11: required string preferred_domain,
   12: required i64 result_bytes,     // of one piece, approximately
+  13: required i64 far_bytes,        // moved if a piece is not made in that domain
 }
 
 // Reply to StageSubmit; with retry_after_ms nothing was queued and nothing will run.
--- a/egretshed/placement/plain_choice.py
+++ b/egretshed/placement/plain_choice.py
@@ -1,9 +1,9 @@
 """Chooses a replica of a plain service for one request.
 
 Load pattern: a few replicas of different speed, one of which turns slow or fails part
-of its requests while it reports itself healthy. The replica with the least expected time
-to a good answer is chosen; what was learned long ago counts less, so that a replica that
-has recovered is found again.
+of its requests while it reports itself healthy. The replica with the least expected
+time to a good answer is chosen; what was learned long ago counts less, so that a
+replica that has recovered is found again.
 """
 
 import math
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -15,14 +15,14 @@
     ServerRefusedWork,
 )
 from egretshed.logs import log_event
-from egretshed.platform.requests import (
-    decode_answer,
-    encode_forward,
-)
 from egretshed.placement.engines import (
     EnginePlacement,
     EnginePlacer,
 )
+from egretshed.platform.requests import (
+    decode_answer,
+    encode_forward,
+)
 from egretshed.relay.events import EventSplitter
 from egretshed.relay.next_step import (
     AttemptHistory,
--- a/egretshed/relay/next_step.py
+++ b/egretshed/relay/next_step.py
@@ -1,9 +1,9 @@
 """Decides what follows a failed attempt.
 
-Load pattern: servers fail while many requests are on their way. A request that may have
-run is sent once more only if its route allows it to run again, within the route's number
-of servers, the fleet's budget and the time left; one that certainly did not run may go
-to another server.
+Load pattern: servers fail while many requests are on their way. A request that may
+have run is sent once more only if its route allows it to run again, within the route's
+number of servers, the fleet's budget and the time left; one that certainly did not run
+may go to another server.
 """
 
 from enum import Enum
--- a/egretshed/relay/placement.py
+++ b/egretshed/relay/placement.py
@@ -1,4 +1,4 @@
-"""Gathers what is known of the servers of a service and asks the placement decisions."""
+"""Gathers what is known of a service's servers and asks the placement decisions."""
 
 from egretshed.environment import Environment
 from egretshed.placement.engine_choice import engine_order
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -82,6 +82,15 @@
         except EgretshedError as error:
             self._note(work, error.code, error.fields.get("reason", ""))
             self._refuse(reply, error)
+        except Exception as fault:  # A fault in one request must not end the process.
+            log_event(
+                self.env.logger,
+                "request_fault",
+                request_id=request.request_id,
+                error=repr(fault),
+            )
+            self._note(work, "failed", "internal")
+            self._refuse(reply, RequestFailed("internal fault", reason="internal"))
         finally:
             if work is not None:
                 self.running.pop(id(work), None)
--- a/egretshed/relay/stages.py
+++ b/egretshed/relay/stages.py
@@ -11,6 +11,7 @@
 from egretshed.stagework.client import (
     StageClient,
     StageContext,
+    StageInputs,
 )
 from egretshed.stagework.graph import (
     StagePlan,
@@ -25,7 +26,7 @@
 
 
 class StageRunner:
-    """Runs the graph of a request's stages, each as soon as its inputs are there."""
+    """Runs the graphs of requests' stages, each stage once its inputs are there."""
 
     def __init__(
         self,
@@ -50,50 +51,12 @@
             deadline_at_s=work.end_s,
             target_at_s=work.target_at_s - ENGINE_TIME_S,
             priority=work.priority,
-            preferred_domain=self.placement.home_domain(work, service),
-        )
-        results: dict[int, tuple[str, ...]] = {}
-        finished = {plan.index: asyncio.Event() for plan in plans}
-        try:
-            async with asyncio.TaskGroup() as group:
-                for plan in plans:
-                    group.create_task(
-                        self._run_stage(work, context, plan, plans, results, finished)
-                    )
-        except* Exception as failures:
-            raise _first(failures) from failures
-        work.stage_results = sink_results(
-            work.route, work.request.piece_counts, results
         )
+        home = self.placement.home_domain(work, service)
+        await _GraphRun(self, work, context, plans, home).run()
 
-    async def _run_stage(
-        self,
-        work: Work,
-        context: StageContext,
-        plan: StagePlan,
-        plans,
-        results,
-        finished,
-    ) -> None:
-        for index in plan.after:
-            await finished[index].wait()
-        inputs = tuple(handle for index in plan.after for handle in results[index])
-        handles = await self.client.run_stage(context, plan, inputs)
-        results[plan.index] = handles
-        known = work.results_by_service.get(plan.service, ())
-        work.results_by_service[plan.service] = known + handles
-        finished[plan.index].set()
-        self._free_used(work, plan, plans, results)
-
-    def _free_used(self, work: Work, done: StagePlan, plans, results) -> None:
-        """Free what only `done` and stages before it needed; room there is scarce."""
-        by_index = {plan.index: plan for plan in plans}
-        for index in done.after:
-            followers = [plan for plan in plans if index in plan.after]
-            if all(plan.index in results for plan in followers):
-                self._free(work, by_index[index].service, results[index])
-
-    def _free(self, work: Work, service: str, handles: tuple[str, ...]) -> None:
+    def free(self, work: Work, service: str, handles: tuple[str, ...]) -> None:
+        """Free some results that the request holds."""
         held = work.results_by_service.get(service, ())
         kept = tuple(handle for handle in held if handle not in handles)
         work.results_by_service[service] = kept
@@ -116,12 +79,83 @@
         found: dict[str, int] = {}
         for service, handles in work.results_by_service.items():
             for handle in handles:
-                server = self.servers.by_address(service, handle_address(handle))
-                if server is not None:
-                    domain = server.failure_domain
-                    found[domain] = found.get(domain, 0) + sizes[service]
+                domain = self.domain_of(service, handle)
+                found[domain] = found.get(domain, 0) + sizes[service]
         return found
 
+    def domain_of(self, service: str, handle: str) -> str:
+        """Return the failure domain of a result's maker, or "" if it has gone."""
+        server = self.servers.by_address(service, handle_address(handle))
+        return server.failure_domain if server is not None else ""
+
+
+class _GraphRun:
+    """One request's stages while they run."""
+
+    def __init__(
+        self,
+        runner: StageRunner,
+        work: Work,
+        context: StageContext,
+        plans: list[StagePlan],
+        home_domain: str,
+    ):
+        self.runner = runner
+        self.work = work
+        self.context = context
+        self.plans = plans
+        self.home_domain = home_domain
+        self.results: dict[int, tuple[str, ...]] = {}
+        self.finished = {plan.index: asyncio.Event() for plan in plans}
+
+    async def run(self) -> None:
+        try:
+            async with asyncio.TaskGroup() as group:
+                for plan in self.plans:
+                    group.create_task(self._run_stage(plan))
+        except* Exception as failures:
+            raise _first(failures) from failures
+        work = self.work
+        work.stage_results = sink_results(
+            work.route, work.request.piece_counts, self.results
+        )
+
+    async def _run_stage(self, plan: StagePlan) -> None:
+        for index in plan.after:
+            await self.finished[index].wait()
+        inputs = self._inputs(plan)
+        handles = await self.runner.client.run_stage(self.context, plan, inputs)
+        self.results[plan.index] = handles
+        held = self.work.results_by_service
+        held[plan.service] = held.get(plan.service, ()) + handles
+        self.finished[plan.index].set()
+        self._free_used(plan)
+
+    def _inputs(self, plan: StagePlan) -> StageInputs:
+        """Return a stage's inputs and the failure domain that moves the fewest bytes.
+
+        Each piece fetches all inputs. A stage that follows no other feeds the engine.
+        """
+        if not plan.after:
+            return StageInputs((), self.home_domain, plan.result_bytes)
+        sizes: dict[str, int] = {}
+        for index in plan.after:
+            stage = self.work.route.stages[index]
+            for handle in self.results[index]:
+                domain = self.runner.domain_of(stage.service, handle)
+                sizes[domain] = sizes.get(domain, 0) + stage.result_bytes
+        handles = tuple(h for index in plan.after for h in self.results[index])
+        best = max(sizes, key=sizes.get, default="")
+        return StageInputs(handles, best, sizes.get(best, 0))
+
+    def _free_used(self, done: StagePlan) -> None:
+        """Free what only `done` and stages before it needed; room there is scarce."""
+        services = {plan.index: plan.service for plan in self.plans}
+        for index in done.after:
+            followers = [plan for plan in self.plans if index in plan.after]
+            if all(plan.index in self.results for plan in followers):
+                self.runner.free(self.work, services[index], self.results[index])
+
 
 def _first(failures: BaseExceptionGroup) -> BaseException:
     """Return the first failure of a group of tasks."""
--- a/egretshed/servers/cold_share.py
+++ b/egretshed/servers/cold_share.py
@@ -1,10 +1,10 @@
 """Division among the nodes of what a cold server can carry.
 
 Load pattern: a server comes back cold while all nodes have requests waiting, and each
-node alone would find it free. The limit is a rate summed over all nodes, so a few nodes,
-chosen by hashing, may each send one request a period; the others leave the server out.
-No message is needed, and nodes that disagree for a moment about who is alive exceed the
-rate by little, for which the limit has room.
+node alone would find it free. The limit is a rate summed over all nodes, so a few
+nodes, chosen by hashing, may each send one request a period; the others leave the
+server out. No message is needed, and nodes that disagree for a moment about who is
+alive exceed the rate by little, for which the limit has room.
 """
 
 import xxhash
--- a/egretshed/stagework/client.py
+++ b/egretshed/stagework/client.py
@@ -51,7 +51,17 @@
     deadline_at_s: float
     target_at_s: float
     priority: int
-    preferred_domain: str
+
+
+class StageInputs(NamedTuple):
+    """What the pieces of one stage are given, and where they are best made.
+
+    `far_bytes` cross between failure domains for each piece that is made elsewhere.
+    """
+
+    handles: tuple[str, ...] = ()
+    preferred_domain: str = ""
+    far_bytes: int = 0
 
 
 class StageClient:
@@ -77,7 +87,7 @@
         peers.handle(StageFree, self._on_free)
 
     async def run_stage(
-        self, context: StageContext, plan: StagePlan, inputs: tuple[str, ...]
+        self, context: StageContext, plan: StagePlan, inputs: StageInputs
     ) -> tuple[str, ...]:
         """Return the handles of all pieces of one stage.
 
@@ -115,7 +125,9 @@
         else:
             self.peers.send(node_id, StageFree(service, list(handles)))
 
-    def _job(self, context: StageContext, plan: StagePlan, inputs) -> StageJob:
+    def _job(
+        self, context: StageContext, plan: StagePlan, inputs: StageInputs
+    ) -> StageJob:
         now_s = self.env.clock.monotonic_s()
         return StageJob(
             node_id=self.env.identity.node_id,
@@ -125,12 +137,13 @@
             stage=plan.index,
             segments=tuple(range(plan.piece_count)),
             piece_key=context.piece_key,
-            inputs=inputs,
+            inputs=inputs.handles,
             deadline_s=context.deadline_at_s - now_s,
             target_s=context.target_at_s - now_s,
             priority=context.priority,
-            preferred_domain=context.preferred_domain,
+            preferred_domain=inputs.preferred_domain,
             result_bytes=plan.result_bytes,
+            far_bytes=inputs.far_bytes,
         )
 
     async def _run_here(self, job: StageJob) -> StageOutcome:
@@ -186,6 +199,7 @@
             message.priority,
             message.preferred_domain,
             message.result_bytes,
+            message.far_bytes,
         )
 
         def report(outcome: StageOutcome) -> None:
@@ -225,6 +239,7 @@
         job.priority,
         job.preferred_domain,
         job.result_bytes,
+        job.far_bytes,
     )
 
 
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -40,8 +40,9 @@
     WaitingPiece,
     call_time_s,
     choose_batch,
-    choose_server,
     expected_wait_s,
+    free_servers,
+    startable,
 )
 from egretshed.upstream.exchange import ExchangeFailed
 from egretshed.upstream.pool import ConnectionPool
@@ -81,6 +82,7 @@
     priority: int
     preferred_domain: str
     result_bytes: int
+    far_bytes: int
 
     @property
     def job_id(self) -> tuple[str, int]:
@@ -151,6 +153,7 @@
                 now_s + job.target_s,
                 job.priority,
                 job.preferred_domain,
+                job.far_bytes,
                 min(job.result_bytes, limits.result_room_bytes),
             )
             for segment in job.segments
@@ -264,14 +267,40 @@
         views = self._views(service, limits)
         domains = {view.failure_domain for view in views}
         now_s = self.env.clock.monotonic_s()
-        for view in choose_server(views, limits.slots):
-            batch = choose_batch(queue, view, domains, limits, now_s)
+        single_s = call_time_s(limits, 1)
+        for view in free_servers(views, limits.slots):
+            begun = self._begun(queue)
+            ordered = startable(
+                queue, begun, self._views(service, limits), now_s, single_s
+            )
+            batch = choose_batch(ordered, view, domains, limits, now_s)
             if not batch:
                 continue
             taken = {(piece.ticket, piece.segment) for piece in batch}
-            queue[:] = [p for p in queue if (p.ticket, p.segment) not in taken]
+            queue[:] = [
+                self._near(piece, batch, view)
+                for piece in queue
+                if (piece.ticket, piece.segment) not in taken
+            ]
             self._start_call(service, view, batch, limits)
 
+    def _begun(self, queue: list[WaitingPiece]) -> set[tuple[str, int]]:
+        """Return the jobs in the queue of which a piece was made or is being made."""
+        waiting: dict[tuple[str, int], int] = {}
+        for piece in queue:
+            waiting[piece.ticket] = waiting.get(piece.ticket, 0) + 1
+        return {
+            ticket
+            for ticket, count in waiting.items()
+            if count < len(self._jobs[ticket].job.segments)
+        }
+
+    def _near(self, piece: WaitingPiece, batch, view: StageServerView) -> WaitingPiece:
+        """Let the rest of a job follow its first pieces to their failure domain."""
+        if piece.preferred_domain or piece.ticket not in {p.ticket for p in batch}:
+            return piece
+        return piece._replace(preferred_domain=view.failure_domain)
+
     def _start_call(self, service, view, batch, limits) -> None:
         server = self.servers.servers[view.server_id]
         size_bytes = sum(piece.result_bytes for piece in batch)
--- a/egretshed/stagework/queue.py
+++ b/egretshed/stagework/queue.py
@@ -3,7 +3,11 @@
 Load pattern: a call costs a fixed time whatever is in it, so that nearly empty calls
 halve the capacity of a stage just when a burst arrives. One node holds all pieces that
 wait for a service; pieces gather while all servers are busy, and a server that becomes
-free gets the most urgent ones, as many as a call may hold and its memory has room for.
+free gets the most urgent ones, as many as a call may hold.
+
+Results take memory at their makers until all pieces of a job are done and fetched. Jobs
+that each hold a part of that memory and wait for more would block each other, so a job
+is begun only while the memory suffices for all jobs that were begun.
 """
 
 from collections.abc import Iterable
@@ -11,17 +15,19 @@
 
 from egretshed.serving.schema import StageLimits
 
-# A piece of this size or more goes to the failure domain that will read its result,
-# since results that cross domains are paid for.
-LARGE_RESULT_BYTES = 500_000
-# How long a large piece waits for a server in that domain while another one is free.
+# Moving this much between failure domains is worth a wait for a nearer server.
+LARGE_TRANSFER_BYTES = 150_000
+# How long such a piece waits for a server in its domain while another one is free.
 DOMAIN_PATIENCE_S = 0.4
 # A piece with less slack than this takes any server at once.
 DOMAIN_SLACK_S = 0.35
 
 
 class WaitingPiece(NamedTuple):
-    """One piece that waits; times are on the owner's monotonic clock."""
+    """One piece that waits; times are on the owner's monotonic clock.
+
+    `far_bytes` cross between failure domains if it is not made in `preferred_domain`.
+    """
 
     ticket: tuple[str, int]
     segment: int
@@ -30,6 +36,7 @@
     target_at_s: float
     priority: int
     preferred_domain: str
+    far_bytes: int
     result_bytes: int
     failures: int = 0
 
@@ -56,19 +63,52 @@
     the earliest target first, so that one late request does not make others late.
     """
     is_late = now_s + call_s > piece.target_at_s
-    return piece.priority, is_late, piece.target_at_s, piece.queued_s
+    return piece.priority, is_late, piece.target_at_s, piece.queued_s, piece.ticket
+
+
+def startable(
+    pieces: list[WaitingPiece],
+    begun: set[tuple[str, int]],
+    views: list[StageServerView],
+    now_s: float,
+    call_s: float,
+) -> list[WaitingPiece]:
+    """Return the pieces that may be made now, most urgent first.
+
+    Pieces of jobs that were begun come first: they free memory the soonest.
+    """
+    ordered = sorted(
+        pieces,
+        key=lambda p: (p.ticket not in begun, *urgency(p, now_s, call_s)),
+    )
+    room_bytes = sum(max(0, view.room_bytes) for view in views)
+    room_bytes -= sum(p.result_bytes for p in ordered if p.ticket in begun)
+    sizes: dict[tuple[str, int], int] = {}
+    for piece in ordered:
+        sizes[piece.ticket] = sizes.get(piece.ticket, 0) + piece.result_bytes
+    allowed: set[tuple[str, int]] = set(begun)
+    # Memory is not left idle: a job larger than all of it may begin alone.
+    nothing_begun = not begun
+    for ticket, size_bytes in sizes.items():
+        if ticket in allowed:
+            continue
+        if size_bytes > room_bytes and not nothing_begun:
+            break
+        allowed.add(ticket)
+        room_bytes -= size_bytes
+        nothing_begun = False
+    return [piece for piece in ordered if piece.ticket in allowed]
 
 
 def choose_batch(
-    pieces: Iterable[WaitingPiece],
+    ordered: Iterable[WaitingPiece],
     server: StageServerView,
     usable_domains: set[str],
     limits: StageLimits,
     now_s: float,
 ) -> list[WaitingPiece]:
-    """Return the pieces for the next call to `server`, most urgent first."""
-    single_s = call_time_s(limits, 1, server.slowness)
-    ordered = sorted(pieces, key=lambda piece: urgency(piece, now_s, single_s))
+    """Return the pieces for the next call to `server`, in the order given."""
+    call_s = call_time_s(limits, 1, server.slowness)
     chosen: list[WaitingPiece] = []
     room_bytes = server.room_bytes
     for piece in ordered:
@@ -76,7 +116,7 @@
             break
         if piece.result_bytes > room_bytes:
             continue
-        if not _may_go_to(piece, server, usable_domains, now_s, single_s):
+        if not _may_go_to(piece, server, usable_domains, now_s, call_s):
             continue
         chosen.append(piece)
         room_bytes -= piece.result_bytes
@@ -90,7 +130,7 @@
     now_s: float,
     call_s: float,
 ) -> bool:
-    if piece.result_bytes < LARGE_RESULT_BYTES:
+    if piece.far_bytes < LARGE_TRANSFER_BYTES:
         return True
     if piece.preferred_domain in ("", server.failure_domain):
         return True
@@ -101,9 +141,7 @@
     return piece.target_at_s - now_s - call_s < DOMAIN_SLACK_S
 
 
-def choose_server(
-    views: Iterable[StageServerView], slots: int
-) -> list[StageServerView]:
+def free_servers(views: Iterable[StageServerView], slots: int) -> list[StageServerView]:
     """Return the servers with a free call slot, the fastest first."""
     free = [view for view in views if view.running_calls < slots]
     return sorted(free, key=lambda view: (view.running_calls, view.slowness))
