Test the decisions of stages, placement, servers and the adapter

Change: tables and replays in virtual time. They found that a replica that had been slow or failing was avoided for good; what was observed now fades, and a new observation after a pause counts more.

--- a/egretshed/placement/plain_choice.py
+++ b/egretshed/placement/plain_choice.py
@@ -8,16 +8,17 @@
 
 import math
 import random
+import statistics
 from collections.abc import Iterable
 from typing import NamedTuple
 
-# What was observed of a replica fades towards the others' mean with this time constant.
+# What was observed of a replica fades towards the usual with this time constant.
 MEMORY_S = 4.0
 # A reported load older than this says nothing of the queue now.
 LOAD_AGE_LIMIT_S = 0.5
 # Candidates that differ by less than this are drawn at random, against herding.
 JITTER_SHARE = 0.15
-# Expected time added for a replica that fails everything, in multiples of the mean.
+# Expected time added for a replica that fails everything, in multiples of the usual one.
 FAILURE_WEIGHT = 6.0
 UNKNOWN_LATENCY_S = 0.05
 
@@ -35,18 +36,20 @@
     report_age_s: float
 
 
-def expected_time_s(candidate: PlainCandidate, mean_s: float, mean_failures: float):
+def expected_time_s(
+    candidate: PlainCandidate, usual_s: float, usual_failures: float
+) -> float:
     """Return the expected time to a good answer from one replica."""
     trust = math.exp(-candidate.observed_age_s / MEMORY_S)
-    known_s = candidate.latency_s or mean_s
-    latency_s = mean_s + (known_s - mean_s) * trust
+    known_s = candidate.latency_s or usual_s
+    latency_s = usual_s + (known_s - usual_s) * trust
     busy = candidate.running_here
     if candidate.report_age_s < LOAD_AGE_LIMIT_S:
         busy = max(busy, candidate.reported_busy)
     queued = max(0, busy + 1 - max(1, candidate.slots))
     waiting_s = latency_s * queued / max(1, candidate.slots)
-    failures = max(0.0, candidate.failure_share - mean_failures) * trust
-    return latency_s + waiting_s + FAILURE_WEIGHT * mean_s * failures
+    failures = max(0.0, candidate.failure_share - usual_failures) * trust
+    return latency_s + waiting_s + FAILURE_WEIGHT * usual_s * failures
 
 
 def choose_plain(
@@ -57,11 +60,11 @@
     if not candidates:
         return None
     known = [c.latency_s for c in candidates if c.latency_s > 0]
-    mean_s = sum(known) / len(known) if known else UNKNOWN_LATENCY_S
-    mean_failures = min(c.failure_share for c in candidates)
+    usual_s = statistics.median_low(known) if known else UNKNOWN_LATENCY_S
+    usual_failures = min(c.failure_share for c in candidates)
 
     def cost(candidate: PlainCandidate) -> float:
         jitter = source.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
-        return expected_time_s(candidate, mean_s, mean_failures) * jitter
+        return expected_time_s(candidate, usual_s, usual_failures) * jitter
 
     return min(candidates, key=cost)
--- /dev/null
+++ b/egretshed/placement/tests/placement.feature
@@ -0,0 +1,38 @@
+Feature: Requests go where they are served soonest at the least cost
+
+  # Guards against shared parts that are read on every engine, against a popular part
+  # that fills one engine while others are idle, and against results moved needlessly.
+  Scenario Outline: <case>
+    Given engines <engines>
+    When a prompt with <slack> s of slack and results of <size> MB in domain "<domain>" is placed
+    Then engine "<chosen>" gets it
+
+    # Engines: name@domain:backlog in s:reading in s:running:slowness
+    Examples:
+      | case                                  | engines                               | slack | size | domain | chosen |
+      | the one that keeps the part           | x@a:0:0.08:0:1 y@b:0:0.35:0:1         | 1.2   | 0    | a      | x      |
+      | also with a short backlog             | x@a:0.2:0.08:1:1 y@b:0:0.35:0:1       | 1.2   | 0    | a      | x      |
+      | not if it would be late               | x@a:0.9:0.08:3:1 y@b:0:0.35:0:1       | 1.0   | 0    | a      | y      |
+      | not with a long backlog               | x@a:1.2:0.08:9:1 y@b:0:0.35:0:1       | 9.0   | 0    | a      | y      |
+      | not if it has turned slow             | x@a:0:0.08:0:6 y@b:0:0.35:0:1         | 1.2   | 0    | a      | y      |
+      | near the results                      | x@a:0:0.35:0:1 y@b:0:0.35:0:1         | 1.2   | 9    | b      | y      |
+      | the part counts more than the results | x@a:0:0.08:0:1 y@b:0:0.35:0:1         | 1.2   | 9    | b      | x      |
+      | few others that it would delay        | x@a:0:0.35:30:1 y@b:0:0.35:1:1        | 1.2   | 0    | a      | y      |
+
+  # Guards against engines that are all read the same parts in a burst of one kind.
+  Scenario: A burst of 60 prompts with 12 shared parts on 6 engines
+    When 60 prompts with 12 shared parts of 13,000 tokens are placed within 6 s
+    Then each shared part was read at most 2 times
+    And no engine has more than 3 times the mean work
+
+  # Guards against a replica that turned slow or fails while it reports itself healthy,
+  # and against one that is avoided for good after it has recovered.
+  Scenario Outline: One of 3 replicas <trouble>
+    When 300 requests are placed while one of 3 replicas <trouble>
+    Then it gets at most <most> of the last 100, and at least <least> after it recovered
+
+    Examples:
+      | trouble                 | most | least |
+      | is 5 times slower       | 12   | 20    |
+      | fails 60 in 100         | 15   | 20    |
+      | is as good as the others | 60  | 20    |
--- /dev/null
+++ b/egretshed/placement/tests/steps/placement_steps.py
@@ -0,0 +1,166 @@
+import asyncio
+import random
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.placement.engine_book import EngineBook
+from egretshed.placement.engine_choice import (
+    EngineView,
+    PlacementNeeds,
+    choose_engine,
+)
+from egretshed.placement.plain_choice import (
+    PlainCandidate,
+    choose_plain,
+)
+from egretshed.relay.request import PromptPart
+from egretshed.servers.records import (
+    ListedServer,
+    ServerAddress,
+    ServerPhase,
+)
+from egretshed.servers.state import ServerState
+from standins.clock import ManualClock
+from standins.environments import make_environment
+
+CACHE_TOKENS = 500_000
+LATENCY_S = 0.05
+
+
+@given("engines {engines}")
+def engines(context, engines):
+    context.engines = [_engine(text) for text in engines.split()]
+
+
+def _engine(text):
+    name, backlog, reading, running, slowness = text.split(":")
+    server_id, domain = name.split("@")
+    return EngineView(
+        server_id,
+        domain,
+        float(backlog),
+        float(reading),
+        int(running),
+        64,
+        float(slowness),
+        0.0,
+        False,
+    )
+
+
+@when(
+    "a prompt with {slack:g} s of slack and results of {size:g} MB in domain "
+    '"{domain}" is placed'
+)
+def place(context, slack, size, domain):
+    needs = PlacementNeeds("part", slack, {domain: int(size * 1e6)})
+    context.chosen = choose_engine(needs, context.engines)
+
+
+@then('engine "{chosen}" gets it')
+def gets_it(context, chosen):
+    assert context.chosen.server_id == chosen, context.chosen
+
+
+@when(
+    "{prompts:d} prompts with {parts:d} shared parts of 13,000 tokens are placed "
+    "within {seconds:d} s"
+)
+def burst(context, prompts, parts, seconds):
+    clock = ManualClock()
+    book = EngineBook(make_environment(clock))
+    source = random.Random(1)
+    names = [f"e{index}" for index in range(6)]
+    context.reads = {}
+    context.work = dict.fromkeys(names, 0.0)
+    for number in range(prompts):
+        shared = PromptPart(f"p{source.randrange(parts)}", 13_000)
+        prompt = (shared, PromptPart(f"own{number}", 3_700))
+        views = [
+            EngineView(
+                name,
+                "a",
+                book.backlog_s(name),
+                book.reading_s(name, prompt),
+                book.running(name),
+                64,
+                book.slowness(name),
+                0.0,
+                False,
+            )
+            for name in names
+        ]
+        chosen = choose_engine(PlacementNeeds(shared.part_id, 1.2, {}), views)
+        if book.uncached_tokens(chosen.server_id, prompt) > 13_000:
+            context.reads.setdefault(shared.part_id, []).append(chosen.server_id)
+        context.work[chosen.server_id] += chosen.reading_s
+        book.place(number, chosen.server_id, prompt, CACHE_TOKENS, 6.0)
+        asyncio.run(clock.advance(seconds / prompts))
+
+
+@then("each shared part was read at most {most:d} times")
+def reads(context, most):
+    counts = {part: len(names) for part, names in context.reads.items()}
+    assert max(counts.values()) <= most, counts
+
+
+@then("no engine has more than {most:d} times the mean work")
+def balanced(context, most):
+    mean = sum(context.work.values()) / len(context.work)
+    assert max(context.work.values()) <= most * mean, context.work
+
+
+@when("{count:d} requests are placed while one of 3 replicas {trouble}")
+def placed(context, count, trouble):
+    context.clock = ManualClock()
+    context.source = random.Random(1)
+    address = ServerAddress("10.0.0.1", 80)
+    context.servers = [
+        ServerState(ListedServer(f"s{i}", "svc", address, "a", ServerPhase.READY, 6))
+        for i in range(3)
+    ]
+    slow = 5.0 if "slower" in trouble else 1.0
+    failing = 0.6 if "fails" in trouble else 0.0
+    context.before = _serve(context, count, slow, failing)[-100:].count("s0")
+    context.after = _serve(context, count, 1.0, 0.0)[-100:].count("s0")
+
+
+def _serve(context, count, slow, failing):
+    chosen_ids = []
+    for _ in range(count):
+        now_s = context.clock.monotonic_s()
+        candidates = [
+            PlainCandidate(
+                server.server_id,
+                server.latency_s,
+                now_s - server.observed_at_s,
+                server.failure_share,
+                server.listed.slots,
+                0,
+                0,
+                0.0,
+            )
+            for server in context.servers
+        ]
+        chosen = choose_plain(candidates, context.source).server_id
+        server = next(s for s in context.servers if s.server_id == chosen)
+        is_troubled = chosen == "s0"
+        latency_s = LATENCY_S * (slow if is_troubled else 1.0)
+        failed = is_troubled and context.source.random() < failing
+        server.note_answer(not failed, now_s, latency_s)
+        chosen_ids.append(chosen)
+        asyncio.run(context.clock.advance(0.1))
+    return chosen_ids
+
+
+@then(
+    "it gets at most {most:d} of the last 100, and at least {least:d} "
+    "after it recovered"
+)
+def share(context, most, least):
+    assert context.before <= most, context.before
+    assert context.after >= least, context.after
--- /dev/null
+++ b/egretshed/platform/tests/steps/adapter_steps.py
@@ -0,0 +1,99 @@
+import json
+
+from behave import (
+    then,
+    when,
+)
+from tornado.httputil import HTTPHeaders
+
+from egretshed.errors import BackendRejected
+from egretshed.ingress.server import IncomingRequest
+from egretshed.platform.records import (
+    MalformedRecord,
+    decode_server,
+)
+from egretshed.platform.requests import (
+    decode_answer,
+    decode_request,
+    encode_forward,
+)
+from egretshed.platform.stage_calls import decode_stage_results
+from egretshed.relay.request import ForwardFields
+from egretshed.upstream.exchange import AnswerHead
+
+SERVER = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+}
+
+
+@when('a server entry with "{field}" set to {value} is decoded')
+def server_entry(context, field, value):
+    entry = dict(SERVER)
+    if value == "missing":
+        entry.pop(field)
+    elif field != "nothing":
+        entry[field] = json.loads(value)
+    try:
+        decode_server("s1", json.dumps(entry).encode())
+        context.result = "is a server"
+    except MalformedRecord:
+        context.result = "is ignored"
+
+
+@then("it is a server")
+def is_server(context):
+    assert context.result == "is a server"
+
+
+@then("it is ignored")
+def is_ignored(context):
+    assert context.result == "is ignored"
+
+
+@when('a request with header "{name}" of value "{value}" is sent on')
+def sent_on(context, name, value):
+    headers = HTTPHeaders({"Host": "h", name: value})
+    incoming = IncomingRequest("POST", "/a/b?c", headers, b"body", 0.0)
+    fields = ForwardFields("s1", 1.5, customer="cust", priority=3)
+    context.sent = encode_forward(decode_request(incoming), fields)
+    assert context.sent.method == "POST"
+    assert context.sent.target == "/a/b?c"
+    assert context.sent.body == b"body"
+
+
+@then('the server gets "{name}" as "{seen}"')
+def gets(context, name, seen):
+    values = [v for n, v in context.sent.headers if n == name]
+    assert values == ([] if seen == "absent" else [seen]), values
+
+
+@when('an answer {status:d} with header "{header}" is decoded')
+def answer(context, status, header):
+    head = AnswerHead(status, "-", HTTPHeaders({header: "1"}))
+    context.answer = decode_answer(head)
+
+
+@then("it proves not run: {proof}")
+def proves(context, proof):
+    assert context.answer.proves_not_run == (proof == "yes")
+
+
+@when("stage results {body} for 2 pieces are decoded")
+def stage_results(context, body):
+    try:
+        results = decode_stage_results(body.encode(), 2)
+        context.results = " ".join(r.handle or r.reason for r in results)
+    except BackendRejected:
+        context.results = "rejected"
+
+
+@then("the results are {result}")
+def results_are(context, result):
+    assert context.results == result, context.results
--- /dev/null
+++ b/egretshed/relay/tests/decisions.feature
@@ -0,0 +1,35 @@
+Feature: What follows a failed attempt
+
+  # Guards against a request that runs twice, and against giving up one that may go on.
+  Scenario Outline: <case>
+    Given a request on a route that is <route> with <most> attempts allowed
+    And <ran> servers may have run it in <sends> sends, <left> s are left
+    And this attempt <now>, <forwarded> forwarded
+    Then the next step is "<step>"
+
+    Examples:
+      | case                                   | route      | most | ran | sends | left | now              | forwarded | step    |
+      | not repeatable, may have run           | once       | 1    | 1   | 1     | 5    | may have run     | nothing   | give_up |
+      | not repeatable, proof of not running   | once       | 1    | 0   | 1     | 5    | did not run      | nothing   | retry   |
+      | not repeatable, earlier one ran        | once       | 1    | 1   | 2     | 5    | may have run     | nothing   | give_up |
+      | repeatable, may have run               | repeatable | 2    | 1   | 1     | 5    | may have run     | nothing   | retry   |
+      | repeatable, all attempts used          | repeatable | 2    | 2   | 2     | 5    | may have run     | nothing   | give_up |
+      | repeatable, no time left               | repeatable | 2    | 1   | 1     | 0.01 | may have run     | nothing   | give_up |
+      | too many sends                         | repeatable | 9    | 0   | 5     | 5    | did not run      | nothing   | give_up |
+      | stream cut midway                      | once       | 1    | 1   | 1     | 5    | may have run     | events    | give_up |
+      | resumable stream cut midway            | resumable  | 2    | 1   | 1     | 5    | may have run     | events    | retry   |
+      | resumable stream, attempts used        | resumable  | 2    | 2   | 2     | 5    | may have run     | events    | give_up |
+
+  # Guards against events that are passed on in part, and lost ids of the last event.
+  Scenario Outline: Pieces <pieces> of a stream
+    When the pieces <pieces> are split into events
+    Then <whole> is passed on, <rest> is kept and the last id is "<last>"
+
+    Examples:
+      | pieces                            | whole                    | rest      | last |
+      | id: 1\ndata: a\n\n                | id: 1\ndata: a\n\n       | nothing   | 1    |
+      | id: 1\ndata: a\n\nid: 2\nda       | id: 1\ndata: a\n\n       | id: 2\nda | 1    |
+      | id: 1\nda\|ta: a\n\|\n            | id: 1\ndata: a\n\n       | nothing   | 1    |
+      | id: 1\r\ndata: a\r\n\r\n          | id: 1\r\ndata: a\r\n\r\n | nothing   | 1    |
+      | data: a\n\n                       | data: a\n\n              | nothing   |      |
+      | id: 7\ndata: a\n\nid: 9\n\n       | id: 7\ndata: a\n\nid: 9\n\n | nothing | 9   |
--- a/egretshed/servers/cold_share.py
+++ b/egretshed/servers/cold_share.py
@@ -7,6 +7,8 @@
 alive exceed the rate by little, for which the limit has room.
 """
 
+from functools import lru_cache
+
 import xxhash
 
 # One request a period and chosen node; a little over a second, since the limit counts
@@ -14,22 +16,27 @@
 PERIOD_S = 1.1
 # Part of the declared rate that is handed out; the rest covers disagreement.
 SHARE_OF_RATE = 0.9
+# Cold servers are few; their rankings change only with the members.
+RANKINGS_KEPT = 128
 
 
-def cold_senders(server_id: str, node_ids: list[str], rate_per_s: float) -> list[str]:
+@lru_cache(maxsize=RANKINGS_KEPT)
+def cold_senders(
+    server_id: str, node_ids: tuple[str, ...], rate_per_s: float
+) -> frozenset[str]:
     """Return the nodes that may send to a cold server, by rendezvous hashing."""
     count = max(1, int(rate_per_s * SHARE_OF_RATE))
     ranked = sorted(
         node_ids,
         key=lambda node_id: xxhash.xxh64_intdigest(f"{server_id}/{node_id}".encode()),
     )
-    return ranked[:count]
+    return frozenset(ranked[:count])
 
 
 def may_send_to_cold(
     server_id: str,
     node_id: str,
-    node_ids: list[str],
+    node_ids: tuple[str, ...],
     rate_per_s: float,
     sends_s: list[float],
     now_s: float,
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -142,7 +142,7 @@
         allowed = may_send_to_cold(
             server.server_id,
             identity.node_id,
-            self.node_ids(),
+            tuple(self.node_ids()),
             rate_per_s,
             server.cold_sends_s,
             now_s,
@@ -157,7 +157,7 @@
         return not server.is_cold(now_s) or may_send_to_cold(
             server.server_id,
             self.env.identity.node_id,
-            self.node_ids(),
+            tuple(self.node_ids()),
             rate_per_s,
             server.cold_sends_s,
             now_s,
--- a/egretshed/servers/state.py
+++ b/egretshed/servers/state.py
@@ -4,6 +4,7 @@
 address, is another incarnation: nothing known of the earlier one holds for it.
 """
 
+import math
 from dataclasses import (
     dataclass,
     field,
@@ -19,6 +20,8 @@
 AVOID_MAX_S = 4.0
 # Share of the newest observation in the moving averages of latency and failures.
 OBSERVATION_SHARE = 0.2
+# Time constant with which earlier observations lose their weight.
+OBSERVATION_MEMORY_S = 4.0
 LATENCY_UNKNOWN_S = 0.0
 
 
@@ -73,17 +76,22 @@
     def note_answer(
         self, succeeded: bool, now_s: float, latency_s: float | None = None
     ) -> None:
-        """Record an answer: its failure share and, if given, its latency."""
+        """Record an answer: its failure share and, if given, its latency.
+
+        What was observed long ago counts less beside the new observation.
+        """
+        trust = math.exp(-(now_s - self.observed_at_s) / OBSERVATION_MEMORY_S)
+        share = 1 - (1 - OBSERVATION_SHARE) * trust
         self.observed_at_s = now_s
         self.failures_in_row = 0
         observed = 0.0 if succeeded else 1.0
-        self.failure_share += OBSERVATION_SHARE * (observed - self.failure_share)
+        self.failure_share += share * (observed - self.failure_share)
         if latency_s is None:
             return
         if self.latency_s == LATENCY_UNKNOWN_S:
             self.latency_s = latency_s
         else:
-            self.latency_s += OBSERVATION_SHARE * (latency_s - self.latency_s)
+            self.latency_s += share * (latency_s - self.latency_s)
 
     def note_load(self, load: tuple[int, int, int], now_s: float) -> None:
         """Record the running and waiting requests and slots that were reported."""
--- /dev/null
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -0,0 +1,131 @@
+import asyncio
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.servers.cold_share import may_send_to_cold
+from egretshed.servers.records import (
+    ListedServer,
+    ServerAddress,
+    ServerPhase,
+)
+from egretshed.servers.registry import (
+    LAPSE_GRACE_S,
+    ServerRegistry,
+)
+from standins.clock import ManualClock
+from standins.environments import make_environment
+
+# A request that is sent now arrives this much later, at most.
+ARRIVAL_SPREAD_S = 0.05
+
+
+@when(
+    "{nodes:d} nodes want to send every {gap:d} ms for 10 s to a server with "
+    "{rate:g} /s"
+)
+def all_send(context, nodes, gap, rate):
+    node_ids = tuple(f"n{index}" for index in range(nodes))
+    sends = {node_id: [] for node_id in node_ids}
+    context.times_s = []
+    for step in range(10_000 // gap):
+        now_s = step * gap / 1000
+        for node_id in node_ids:
+            if may_send_to_cold("s1", node_id, node_ids, rate, sends[node_id], now_s):
+                sends[node_id].append(now_s)
+                context.times_s.append(now_s)
+
+
+@then(
+    "in no second it gets more than {most:g} requests, and in 10 s at least {least:d}"
+)
+def bounded(context, most, least):
+    times_s = context.times_s
+    window_s = 1.0 + ARRIVAL_SPREAD_S
+    worst = max(
+        sum(1 for other in times_s if time_s <= other < time_s + window_s)
+        for time_s in times_s
+    )
+    assert worst <= most, worst
+    assert len(times_s) >= least, len(times_s)
+
+
+@given('a listed server "s1" in domain "a" at 10.0.0.1:80 started at 5')
+def listed(context):
+    context.clock = ManualClock()
+    context.evacuated = set()
+    context.is_doubtful = False
+    context.registry = ServerRegistry(
+        make_environment(context.clock),
+        lambda domain: domain in context.evacuated,
+        lambda: context.is_doubtful,
+        lambda: ["entry-1"],
+    )
+    address = ServerAddress("10.0.0.1", 80)
+    context.entry = ListedServer("s1", "svc", address, "a", ServerPhase.READY, 4, 0, 5)
+    context.registry.apply(context.entry)
+
+
+@when("nothing happens")
+def nothing(context):
+    pass
+
+
+@when("it is listed as leaving")
+def leaving(context):
+    context.registry.apply(context.entry._replace(phase=ServerPhase.LEAVING))
+
+
+@when("its entry is removed")
+def removed(context):
+    context.registry.remove("s1")
+
+
+@when("its entry is removed while the store is doubtful")
+def lapsed(context):
+    context.is_doubtful = True
+    context.registry.remove("s1")
+
+
+@when("its entry is removed and does not come back")
+def lapsed_for_good(context):
+    lapsed(context)
+    asyncio.run(context.clock.advance(LAPSE_GRACE_S))
+    context.registry.expire_lapsed()
+
+
+@when('domain "{domain}" is taken out')
+def taken_out(context, domain):
+    context.evacuated.add(domain)
+
+
+@when("a connection to it fails")
+def unreachable(context):
+    server = context.registry.servers["s1"]
+    server.note_unreachable(context.clock.monotonic_s())
+
+
+@when("a connection to it fails and 5 s pass")
+def reachable_again(context):
+    unreachable(context)
+    asyncio.run(context.clock.advance(5))
+
+
+@when("a connection to it fails and it starts again at 9")
+def restarted(context):
+    unreachable(context)
+    context.registry.apply(context.entry._replace(started_ms=9))
+
+
+@when("it is listed for another service")
+def another_service(context):
+    context.registry.apply(context.entry._replace(service="other", started_ms=9))
+
+
+@then("{count:d} servers of its service may get work")
+def usable(context, count):
+    found = context.registry.usable("svc")
+    assert len(found) == count, found
--- /dev/null
+++ b/egretshed/serving/tests/steps/serving_steps.py
@@ -0,0 +1,92 @@
+import json
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.platform.interface import StoredRow
+from egretshed.platform.tables import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+)
+from egretshed.serving.in_force import InForce
+from egretshed.serving.matching import RouteTable
+from egretshed.serving.schema import (
+    RepeatRule,
+    Route,
+    ServingConfiguration,
+    WeightedService,
+)
+from standins.clock import ManualClock
+from standins.environments import make_environment
+
+
+def _route(name):
+    host, _, path = name.partition("/")
+    services = (WeightedService("svc", 1.0),)
+    return Route(
+        name, host, f"/{path}", RepeatRule.IDEMPOTENT, 1.0, 0.2, 0, services, 2
+    )
+
+
+@given("routes for {names}")
+def routes(context, names):
+    found = tuple(_route(name) for name in names.split(" and "))
+    context.routes = RouteTable(ServingConfiguration(1, found, {}, {}))
+
+
+@when('a request for host "{host}" and target "{target}" is matched')
+def match(context, host, target):
+    context.route = context.routes.match(host, target)
+
+
+@then('route "{name}" takes it')
+def taken(context, name):
+    found = context.route.name if context.route else "none"
+    assert found == name, found
+
+
+def _apply(context, rows):
+    context.in_force = InForce(make_environment(ManualClock()))
+    for number, (key, value) in enumerate(rows):
+        context.in_force.apply((StoredRow("", key, value, number + 1),), False)
+
+
+@when("configurations with versions {versions} arrive")
+def configurations(context, versions):
+    values = {"bad": b"{", "removed": None}
+    rows = [
+        (
+            CONFIGURATION_KEY,
+            values[version]
+            if version in values
+            else json.dumps({"version": int(version), "routes": []}).encode(),
+        )
+        for version in versions.split()
+    ]
+    _apply(context, rows)
+
+
+@then("version {version:d} is in force")
+def version_in_force(context, version):
+    assert context.in_force.version == version, context.in_force.version
+
+
+@when("evacuation rows {rows} arrive")
+def evacuations(context, rows):
+    signs = {"+": b"{}", "-": None}
+    _apply(
+        context, [(EVACUATION_PREFIX + row[1:], signs[row[0]]) for row in rows.split()]
+    )
+
+
+@then('the domains taken out are "{domains}"')
+def domains_out(context, domains):
+    assert context.in_force.evacuated == set(domains.split())
+
+
+@then('the domains taken out are ""')
+def no_domains_out(context):
+    assert context.in_force.evacuated == set()
--- a/egretshed/stagework/queue.py
+++ b/egretshed/stagework/queue.py
@@ -96,7 +96,10 @@
     for ticket, size_bytes in sizes.items():
         if ticket in allowed:
             continue
-        if is_blocked and size_bytes > SMALL_JOB_BYTES:
+        if size_bytes <= SMALL_JOB_BYTES:
+            allowed.add(ticket)
+            continue
+        if is_blocked:
             continue
         if size_bytes > room_bytes and not nothing_begun:
             # Larger jobs behind this one wait too, so that it gets its turn.
