Test table followers, the shared retry budget and exchanges

Cause: the parts that keep answers whole and tables current had no test of their own. Change: tables over a fake feed, raw servers and many nodes' budgets.

--- /dev/null
+++ b/egretshed/feeds/tests/follower.feature
@@ -0,0 +1,30 @@
+Feature: A followed table is what the store said last, also after trouble
+
+  # Guards against changes that are missed when history is lost or the store is away,
+  # against rows that stay after they were removed, and against going back.
+  Scenario Outline: <case>
+    Given a store table with rows a=1 b=2 that is followed
+    When <events>
+    Then within <limit> s the follower has rows "<rows>"
+
+    Examples:
+      | case                           | events                                       | limit | rows      |
+      | first read                     | nothing happens                              | 0.1   | a=1 b=2   |
+      | a row is changed               | a=5 is written                               | 0.1   | a=5 b=2   |
+      | a row is removed               | a is removed                                 | 0.1   | b=2       |
+      | changed while history is lost  | history is lost and c=3 is written           | 0.2   | a=1 b=2 c=3 |
+      | removed while history is lost  | history is lost and a is removed             | 0.2   | b=2       |
+      | changed while the store is away | the store is away for 3 s and a=7 is written | 5     | a=7 b=2   |
+      | the feed is silent             | the feed is silent and a=8 is written        | 4     | a=8 b=2   |
+
+  # Guards against a node that the store does not serve and that never learns of changes.
+  Scenario Outline: A peer has the table at version <theirs>, this node at <ours>
+    Given a follower at version <ours>
+    When a peer offers the table at version <theirs>
+    Then it is taken over: <taken>
+
+    Examples:
+      | ours | theirs | taken |
+      | 5    | 6      | yes   |
+      | 5    | 5      | no    |
+      | 5    | 4      | no    |
--- a/egretshed/placement/plain_choice.py
+++ b/egretshed/placement/plain_choice.py
@@ -18,7 +18,7 @@
 LOAD_AGE_LIMIT_S = 0.5
 # Candidates that differ by less than this are drawn at random, against herding.
 JITTER_SHARE = 0.15
-# Expected time added for a replica that fails everything, in multiples of the usual one.
+# Expected time added for a replica that fails everything, in multiples of the usual.
 FAILURE_WEIGHT = 6.0
 UNKNOWN_LATENCY_S = 0.05
 
--- a/egretshed/retries/tests/retries.feature
+++ b/egretshed/retries/tests/retries.feature
@@ -66,3 +66,16 @@
       | no      | yes        | 5         | not     |
       | yes     | no         | 5         | not     |
       | yes     | yes        | 1.2       | not     |
+
+  # Guards against retries that multiply an outage: summed over all nodes they stay under
+  # 0.2 of the requests plus 54 in any 10 s, also with many nodes.
+  Scenario Outline: <nodes> nodes with <requests> requests each, all of which fail
+    When <nodes> nodes with <requests> requests each in 10 s want to retry everything
+    Then together they sent at most <most> retries, and at least <least>
+
+    Examples:
+      | nodes | requests | most | least |
+      | 1     | 20       | 58   | 20    |
+      | 7     | 20       | 82   | 35    |
+      | 65    | 10       | 184  | 65    |
+      | 7     | 1000     | 1454 | 700   |
--- a/egretshed/retries/tests/steps/retries_steps.py
+++ b/egretshed/retries/tests/steps/retries_steps.py
@@ -20,6 +20,7 @@
     Retry,
     decide_retry,
 )
+from egretshed.retries.shared_budget import SharedRetryBudget
 from egretshed.retries.stage_times import (
     StageTimes,
     divide_deadline,
@@ -124,3 +125,24 @@
         context.times, "slow", remaining, repeatable == "yes", enabled == "yes"
     )
     assert (delay_s is not None) == (planned == "planned"), delay_s
+
+
+@when(
+    "{nodes:d} nodes with {requests:d} requests each in 10 s want to retry everything"
+)
+def nodes_retry(context, nodes, requests):
+    clock = ManualClock()
+    context.retries = 0
+    budgets = [
+        SharedRetryBudget(make_environment(clock), lambda: nodes) for _ in range(nodes)
+    ]
+    for _ in range(requests):
+        for budget in budgets:
+            budget.note_request("svc")
+            context.retries += budget.take("svc")
+        asyncio.run(clock.advance(10 / requests))
+
+
+@then("together they sent at most {most:d} retries, and at least {least:d}")
+def sent_together(context, most, least):
+    assert least <= context.retries <= most, context.retries
--- /dev/null
+++ b/egretshed/upstream/tests/exchange.feature
@@ -0,0 +1,28 @@
+Feature: An answer is whole, or visibly not
+
+  # Guards against answers that are cut, spoiled or another request's and look whole, and
+  # against connections that are used again although they are in doubt.
+  Scenario Outline: <case>
+    Given a server that answers <answer> and then <ending>
+    When a request is sent to it
+    Then the outcome is "<outcome>", reusable: <reusable>
+
+    Examples:
+      | case                        | answer                                                    | ending | outcome   | reusable |
+      | whole by length             | HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok             | waits  | 200 ok    | yes      |
+      | cut by length               | HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok             | closes | failed    | no       |
+      | whole in chunks             | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n | waits | 200 ok | yes |
+      | cut in chunks               | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n | closes | failed | no |
+      | no length, closed           | HTTP/1.1 200 OK\r\n\r\nok                                 | closes | 200 ok    | no       |
+      | no length, reset            | HTTP/1.1 200 OK\r\n\r\nok                                 | resets | failed    | no       |
+      | asks to close               | HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok | waits | 200 ok | no |
+      | no answer                   | nothing                                                   | closes | failed    | no       |
+      | not an answer               | hello hello\r\n\r\n                                       | waits  | failed    | no       |
+      | two lengths                 | HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok | waits | failed | no |
+      | an interim answer first     | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok | waits | 200 ok | yes |
+
+  # Guards against a request that is taken for one that may have run although nothing was
+  # sent: it may go to another server.
+  Scenario: No server listens
+    When a request is sent to a port without a listener
+    Then it failed and certainly did not run
--- /dev/null
+++ b/egretshed/upstream/tests/steps/exchange_steps.py
@@ -0,0 +1,91 @@
+import asyncio
+import socket
+import struct
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.clock import SystemClock
+from egretshed.upstream.exchange import (
+    ExchangeFailed,
+    OutgoingRequest,
+)
+from egretshed.upstream.pool import ConnectionPool
+from standins.behave_loop import run
+from standins.environments import make_environment
+
+LIMIT_BYTES = 1_000_000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@given("a server that answers {answer} and then {ending}")
+def server(context, answer, ending):
+    content = b"" if answer == "nothing" else answer.encode()
+    content = content.decode("unicode_escape").encode("latin1")
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(content)
+        await writer.drain()
+        if ending == "waits":
+            await reader.read()
+        elif ending == "resets":
+            # Lets the bytes arrive before the reset discards what is on its way.
+            await asyncio.sleep(0.05)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        writer.close()
+
+    async def start():
+        return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+    context.server = run(context, start())
+    port = context.server.sockets[0].getsockname()[1]
+    context.address = f"127.0.0.1:{port}"
+    context.add_cleanup(context.server.close)
+
+
+async def _exchange(context):
+    pool = ConnectionPool(make_environment(SystemClock()))
+    exchange = await pool.open(context.address, LIMIT_BYTES)
+    try:
+        exchange.send(OutgoingRequest("GET", "/", (("Host", "h"),)))
+        head = await exchange.head()
+        body = await exchange.body()
+        return f"{head.status} {body.decode()}", await exchange.release()
+    finally:
+        exchange.close()
+        pool.close()
+
+
+@when("a request is sent to it")
+def sent(context):
+    try:
+        context.outcome, context.reusable = run(context, _exchange(context))
+    except ExchangeFailed as error:
+        context.outcome, context.reusable = "failed", False
+        context.error = error
+
+
+@then('the outcome is "{outcome}", reusable: {reusable}')
+def outcome_is(context, outcome, reusable):
+    assert context.outcome == outcome, context.outcome
+    assert context.reusable == (reusable == "yes"), context.reusable
+
+
+@when("a request is sent to a port without a listener")
+def no_listener(context):
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        context.address = f"127.0.0.1:{unused.getsockname()[1]}"
+    sent(context)
+
+
+@then("it failed and certainly did not run")
+def not_run(context):
+    assert context.outcome == "failed"
+    assert not context.error.may_have_run
