--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -197,13 +197,10 @@
     def free(self, handles: list[str]) -> None:
         """Free results at their makers soon."""
         for handle in handles:
-            self.ledger.free(handle)
             address = handle_address(handle)
             if not self._to_free[address]:
                 self._spawn(self._free_at(address))
             self._to_free[address].append(handle)
-        for service in self._queues:
-            self._pump(service)
 
     async def _free_at(self, address: str) -> None:
         await self.env.clock.sleep(FREE_DELAY_S)
@@ -221,6 +218,12 @@
                 results=len(handles),
                 error=str(error),
             )
+            return
+        # The memory counts as taken until the maker has confirmed that it is free.
+        for handle in handles:
+            self.ledger.free(handle)
+        for service in self._queues:
+            self._pump(service)
 
     def has_work(self) -> bool:
         """Return whether any job waits or runs here."""
