Keep what is known of stage memory true after an owner was lost

Cause: results of a lost owner's requests were not freed; a server that answered 'no room' at once looked fast. Change: results are freed by any node; memory that is held unknown counts for a while.

--- a/egretshed/stagework/client.py
+++ b/egretshed/stagework/client.py
@@ -80,6 +80,7 @@
         self.owner = owner
         # Starts above the tickets of this node's earlier incarnations.
         self._tickets = itertools.count(env.identity.incarnation)
+        self._tasks: set[asyncio.Task] = set()
         self._waiting: dict[int, asyncio.Future[StageOutcome]] = {}
         peers.handle(StageSubmit, self._on_submit)
         peers.handle(StageDone, self._on_done)
@@ -119,11 +120,21 @@
         """Free results that are needed no more."""
         if not handles:
             return
-        node_id = self.owners.ranked(_duty(service))[0]
-        if node_id == self.env.identity.node_id:
-            self.owner.free(list(handles))
-        else:
-            self.peers.send(node_id, StageFree(service, list(handles)))
+        task = asyncio.create_task(self._free(service, list(handles)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _free(self, service: str, handles: list[str]) -> None:
+        duty = _duty(service)
+        node_id = self.owners.ranked(duty)[0]
+        if node_id != self.env.identity.node_id:
+            try:
+                message = StageFree(service, handles)
+                await self.peers.call(node_id, message, ACCEPT_TIMEOUT_S)
+                return
+            except (PeerUnavailable, PeerRejected) as error:
+                self.owners.avoid(node_id, duty, str(error))
+        self.owner.free(handles)
 
     def _job(
         self, context: StageContext, plan: StagePlan, inputs: StageInputs
--- a/egretshed/stagework/ledger.py
+++ b/egretshed/stagework/ledger.py
@@ -12,7 +12,7 @@
         self.env = env
         self._held: dict[str, dict[str, tuple[float, int]]] = defaultdict(dict)
         self._reserved: dict[str, int] = defaultdict(int)
-        self._full_until_s: dict[str, float] = {}
+        self._unknown: dict[str, tuple[float, int]] = {}
 
     def reserve(self, server_id: str, size_bytes: int) -> None:
         """Count the results of a call that runs."""
@@ -33,23 +33,29 @@
                 return server_id
         return None
 
-    def note_full(self, server_id: str, for_s: float) -> None:
-        """A server had less room than this ledger knew; leave it out for a while."""
-        self._full_until_s[server_id] = self.env.clock.monotonic_s() + for_s
+    def note_full(self, server_id: str, limit_bytes: int, for_s: float) -> None:
+        """A server had less room than was known; count the rest as taken for a while.
+
+        It holds results of an earlier owner, or of calls whose answers were lost.
+        """
+        self._unknown.pop(server_id, None)
+        unknown = max(0, self.room_bytes(server_id, limit_bytes))
+        self._unknown[server_id] = (self.env.clock.monotonic_s() + for_s, unknown)
 
     def room_bytes(self, server_id: str, limit_bytes: int) -> int:
         """Return how many bytes of results the server can still take."""
         now_s = self.env.clock.monotonic_s()
-        if now_s < self._full_until_s.get(server_id, 0.0):
-            return 0
+        expires_s, unknown = self._unknown.get(server_id, (0.0, 0))
+        if now_s >= expires_s:
+            unknown = 0
         results = self._held[server_id]
         for handle, (expires_s, _) in list(results.items()):
             if expires_s <= now_s:
                 del results[handle]
-        held = sum(size for _, size in results.values())
+        held = unknown + sum(size for _, size in results.values())
         return limit_bytes - held - self._reserved[server_id]
 
     def forget(self, server_id: str) -> None:
         self._held.pop(server_id, None)
         self._reserved.pop(server_id, None)
-        self._full_until_s.pop(server_id, None)
+        self._unknown.pop(server_id, None)
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -11,6 +11,7 @@
 )
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import NamedTuple
 
 from egretshed.environment import Environment
@@ -52,8 +53,10 @@
 # A call that takes this many times its expected time, and a moment, is given up.
 CALL_PATIENCE_FACTOR = 4.0
 CALL_PATIENCE_S = 0.6
-# A server that said it was full or out of memory is asked again after this time.
+# A server that refused a call is asked again after this time.
 FULL_PAUSE_S = 0.08
+# Results that this owner does not know of are freed or expire meanwhile.
+UNKNOWN_RESULTS_S = 0.3
 SLOWNESS_SHARE = 0.3
 # Outcomes kept for submitters that did not get them.
 FINISHED_KEPT = 256
@@ -89,6 +92,15 @@
         return self.node_id, self.ticket
 
 
+class CallOutcome(Enum):
+    """How a call to a stage server ended."""
+
+    ANSWERED = "answered"
+    FULL = "full"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
 class StageOutcome(NamedTuple):
     """Handles in the order of the job's segments, or the reason for having none."""
 
@@ -124,6 +136,7 @@
         self._queues: dict[str, list[WaitingPiece]] = defaultdict(list)
         self._calls: dict[str, int] = defaultdict(int)
         self._slowness: dict[str, float] = {}
+        self._pause_until_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._finished: OrderedDict[tuple[str, int], StageOutcome] = OrderedDict()
         self._to_free: dict[str, list[str]] = defaultdict(list)
@@ -250,6 +263,7 @@
         return declared.stage if declared else None
 
     def _views(self, service: str, limits: StageLimits) -> list[StageServerView]:
+        now_s = self.env.clock.monotonic_s()
         return [
             StageServerView(
                 server.server_id,
@@ -259,6 +273,7 @@
                 self._slowness.get(server.server_id, 1.0),
             )
             for server in self.servers.usable(service)
+            if now_s >= self._pause_until_s.get(server.server_id, 0.0)
         ]
 
     def _pump(self, service: str) -> None:
@@ -315,43 +330,55 @@
         began_s = self.env.clock.monotonic_s()
         slowness = self._slowness.get(server.server_id, 1.0)
         expected_s = call_time_s(limits, len(batch), slowness)
-        outcome = "answered"
-        try:
-            timeout_s = expected_s * CALL_PATIENCE_FACTOR + CALL_PATIENCE_S
-            async with asyncio.timeout(timeout_s):
-                results = await self._ask(server, batch)
-        except _Full:
-            outcome = "full"
-            self.ledger.note_full(server.server_id, FULL_PAUSE_S)
+        outcome, results = await self._ask(server, batch, expected_s)
+        now_s = self.env.clock.monotonic_s()
+        self._calls[server.server_id] -= 1
+        self.ledger.release(server.server_id, size_bytes)
+        if outcome == CallOutcome.ANSWERED:
+            server.note_answer(True, now_s)
+            if all(result.handle for result in results):
+                self._note_slowness(
+                    server.server_id, limits, len(batch), now_s - began_s
+                )
+            self._take_results(service, server, batch, results, limits)
+        elif outcome == CallOutcome.FULL:
+            self._pause_until_s[server.server_id] = now_s + FULL_PAUSE_S
             self._requeue(service, batch, counts=False)
-        except (BackendError, TimeoutError) as error:
-            outcome = repr(error)
-            server.note_unreachable(self.env.clock.monotonic_s())
-            ran = not isinstance(error, ExchangeFailed) or error.may_have_run
-            self._requeue(service, batch, counts=ran)
         else:
-            took_s = self.env.clock.monotonic_s() - began_s
-            server.note_answer(True, self.env.clock.monotonic_s())
-            self._note_slowness(server.server_id, limits, len(batch), took_s)
-            self._take_results(service, server, batch, results, limits)
-        finally:
-            self._calls[server.server_id] -= 1
-            self.ledger.release(server.server_id, size_bytes)
-            self._log_call(service, server, batch, began_s, expected_s, outcome)
+            server.note_unreachable(now_s)
+            self._requeue(service, batch, counts=outcome == CallOutcome.MAY_HAVE_RUN)
+        call = (batch, results)
+        self._log_call(service, server, call, began_s, expected_s, outcome)
         self._pump(service)
 
-    async def _ask(self, server: ServerState, batch) -> list[StageItemResult]:
+    async def _ask(
+        self, server: ServerState, batch: list[WaitingPiece], expected_s: float
+    ) -> tuple[CallOutcome, list[StageItemResult]]:
+        """Return how a call ended, and a result a piece if it was answered."""
         now_s = self.env.clock.monotonic_s()
-        items = [self._item(piece, now_s) for piece in batch]
+        items = [self._item(p, now_s) for p in batch if p.ticket in self._jobs]
+        if len(items) < len(batch):
+            # The rest of the batch waits for its next turn.
+            return CallOutcome.FULL, []
         request = encode_stage_call(server.server_id, server.address, items)
-        status, body = await self.pool.fetch(
-            server.address, request, MAX_ANSWER_BYTES, reuse=True
-        )
-        if status == 503:
-            raise _Full()
-        if status != 200:
-            raise ExchangeFailed(f"stage call answered {status}", may_have_run=False)
-        return decode_stage_results(body, len(batch))
+        try:
+            async with asyncio.timeout(
+                expected_s * CALL_PATIENCE_FACTOR + CALL_PATIENCE_S
+            ):
+                status, body = await self.pool.fetch(
+                    server.address, request, MAX_ANSWER_BYTES, reuse=True
+                )
+            if status in (429, 503):
+                return CallOutcome.FULL, []
+            if status != 200:
+                return CallOutcome.NOT_RUN, []
+            return CallOutcome.ANSWERED, decode_stage_results(body, len(batch))
+        except TimeoutError:
+            return CallOutcome.MAY_HAVE_RUN, []
+        except BackendError as error:
+            if error.may_have_run:
+                return CallOutcome.MAY_HAVE_RUN, []
+            return CallOutcome.NOT_RUN, []
 
     def _item(self, piece: WaitingPiece, now_s: float) -> StageItem:
         job = self._jobs[piece.ticket].job
@@ -377,10 +404,12 @@
             elif result.reason in ("late", "gone"):
                 self._fail(piece.ticket, result.reason)
             elif result.reason == "room":
-                self.ledger.note_full(server.server_id, FULL_PAUSE_S)
                 self._requeue(service, [piece], counts=False)
             else:
                 self._requeue(service, [piece], counts=True)
+        if any(result.reason == "room" for result in results):
+            limit_bytes = limits.result_room_bytes
+            self.ledger.note_full(server.server_id, limit_bytes, UNKNOWN_RESULTS_S)
 
     def _finish_piece(self, piece: WaitingPiece, handle: str) -> None:
         running = self._jobs.get(piece.ticket)
@@ -425,7 +454,8 @@
         known = self._slowness.get(server_id, 1.0)
         self._slowness[server_id] = known + SLOWNESS_SHARE * (observed - known)
 
-    def _log_call(self, service, server, batch, began_s, expected_s, outcome) -> None:
+    def _log_call(self, service, server, call, began_s, expected_s, outcome) -> None:
+        batch, results = call
         took_s = self.env.clock.monotonic_s() - began_s
         log_event(
             self.env.logger,
@@ -434,20 +464,15 @@
             server_id=server.server_id,
             pieces=len(batch),
             request_ids=sorted({piece.ticket[1] for piece in batch})[:4],
+            not_made=[result.reason for result in results if result.reason],
             waiting=len(self._queues[service]),
             waited_s=round(began_s - min(p.queued_s for p in batch), 3),
             expected_s=round(expected_s, 3),
             took_s=round(took_s, 3),
-            outcome=outcome,
+            outcome=outcome.value,
         )
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-class _Full(BackendError):
-    """The server refused a call and did not run it."""
-
-    code = "stage_server_full"
