Play the whole path of an entry node against stand-ins of the platform

Change: stand-ins of the row store and of plain, stage and engine servers; tables over three real node processes. Late stage work goes first before it is lost.

--- /dev/null
+++ b/egretshed/daemon/tests/steps/entry_node_steps.py
@@ -0,0 +1,277 @@
+import asyncio
+import json
+import signal
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from standins.behave_loop import run
+from standins.users_platform.fleet import (
+    Fleet,
+    configuration,
+)
+from standins.users_platform.store import (
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+)
+
+POLL_S = 0.05
+MODES = {
+    "are well": "ok",
+    "is full": "full",
+    "are full": "full",
+    "fail": "error",
+    "cut streams midway": "cut",
+    "is at another's address": "other",
+}
+
+
+@given("3 entry nodes before 2 servers of each service")
+def fleet(context):
+    context.fleet = Fleet()
+    run(context, context.fleet.__aenter__())
+    context.add_cleanup(lambda: run(context, context.fleet.__aexit__()))
+
+
+@given('the servers of "{service}": {trouble}')
+def trouble(context, service, trouble):
+    servers = _servers(context, service)
+    how_many, _, what = trouble.partition(" ")
+    if what == "are leaving":
+        for server in servers:
+            entry = server.entry("draining")
+            context.fleet.store.put_json(SERVER_TABLE, server.server_id, entry)
+        run(context, asyncio.sleep(0.5))
+        return
+    for server in servers if how_many == "all" else servers[:1]:
+        server.mode = MODES[what]
+
+
+def _servers(context, service):
+    found = context.fleet.servers.values()
+    return [server for server in found if server.service == service]
+
+
+@when('request "{request_id}" to {path} is sent')
+def send(context, request_id, path):
+    context.response = run(context, context.fleet.request("node-0", path, request_id))
+
+
+@when('request "{request_id}" to {path} is sent with key "{key}"')
+def send_with_key(context, request_id, path, key):
+    headers = {"Authorization": f"Token {key}"}
+    sent = context.fleet.request("node-0", path, request_id, **headers)
+    context.response = run(context, sent)
+
+
+@when('request "{request_id}" to {path} is sent with {first:d} and {second:d} pieces')
+def send_with_stages(context, request_id, path, first, second):
+    headers = {"Chunks": f"{first},{second}", "Chunk-Key": "k1"}
+    sent = context.fleet.request("node-0", path, request_id, **headers)
+    context.response = run(context, sent)
+
+
+@then("the caller gets status {status:d} within its deadline")
+def status_is(context, status):
+    response = context.response
+    assert response.code == status, (response.code, response.body, response.error)
+    if status == 200:
+        assert response.headers["Replica-Signature"] == "sig-r1"
+    if status == 503:
+        assert float(response.headers["Retry-After"]) > 0
+
+
+@then('servers of "{service}" ran it {count:d} times')
+def ran(context, service, count):
+    total = sum(server.ran["r1"] for server in _servers(context, service))
+    assert total == count, total
+
+
+@then("no server has seen a key")
+def no_key(context):
+    for server in context.fleet.servers.values():
+        for headers in server.seen_headers.values():
+            assert "Authorization" not in headers, headers
+            assert headers["Tenant"] == "cust", headers
+
+
+@then('{first:d} pieces of "first" and {second:d} of "second" were made once each')
+def pieces(context, first, second):
+    for service, count in (("first", first), ("second", second)):
+        made = sum((s.pieces for s in _servers(context, service)), start=_counter())
+        assert len(made) == count and set(made.values()) == {1}, made
+
+
+def _counter():
+    from collections import Counter
+
+    return Counter()
+
+
+@then("no results are held any more")
+def all_freed(context):
+    async def held():
+        for _ in range(40):
+            left = [r for s in context.fleet.servers.values() for r in s.results]
+            if not left:
+                return []
+            await asyncio.sleep(POLL_S)
+        return left
+
+    assert run(context, held()) == []
+
+
+@when("the key of the requests is revoked")
+def revoke(context):
+    _put_configuration(context, tenants=[{"name": "cust", "api_keys": ["key-2"]}])
+
+
+@when("the route is removed")
+def remove_route(context):
+    routes = [r for r in configuration()["routes"] if r["name"] != "book"]
+    _put_configuration(context, routes=routes)
+
+
+@when("the store loses its history and the route is removed")
+def remove_route_without_history(context):
+    remove_route(context)
+    context.fleet.store.compact()
+
+
+@when("all servers are taken out of service")
+def servers_leave(context):
+    for server in context.fleet.servers.values():
+        entry = server.entry("draining")
+        context.fleet.store.put_json(SERVER_TABLE, server.server_id, entry)
+
+
+@when("the failure domains are evacuated")
+def evacuate(context):
+    for domain in "abc":
+        context.fleet.store.put_json(OPERATOR_TABLE, f"evacuate/{domain}", {})
+
+
+def _put_configuration(context, **changes):
+    value = configuration(2, **changes)
+    context.fleet.store.put_json(OPERATOR_TABLE, "config", value)
+
+
+@then("within 2 s each node answers a request to {path} with {status:d}")
+def in_force(context, path, status):
+    run(context, asyncio.sleep(2.0))
+    for name in context.fleet.ports:
+        response = run(context, context.fleet.request(name, path, f"late-{name}"))
+        assert response.code == status, (name, response.code)
+
+
+@when("the store is {mode} for 2 s")
+def store_mode(context, mode):
+    context.fleet.store.mode = mode
+    context.during = run(context, _all_nodes(context, "during", 2.0))
+    context.fleet.store.mode = "ok"
+
+
+async def _all_nodes(context, label, seconds):
+    codes = []
+    end_s = asyncio.get_running_loop().time() + seconds
+    number = 0
+    while asyncio.get_running_loop().time() < end_s:
+        for name in context.fleet.ports:
+            request_id = f"{label}-{number}"
+            response = await context.fleet.request(name, "/book/x", request_id)
+            codes.append(response.code)
+            number += 1
+        await asyncio.sleep(POLL_S)
+    return codes
+
+
+@then("requests to /book/x are answered with 200 meanwhile and afterwards")
+def answered_all_along(context):
+    afterwards = run(context, _all_nodes(context, "after", 1.0))
+    assert set(context.during) == {200}, context.during
+    assert set(afterwards) == {200}, afterwards
+
+
+@when('node "{name}" is stopped by {signal_name} while {count:d} streams run')
+def stop_node(context, name, signal_name, count):
+    for server in _servers(context, "engine"):
+        server.event_s = 0.2
+
+    async def play():
+        streams = [
+            asyncio.create_task(context.fleet.request(name, "/ask/x", f"s{number}"))
+            for number in range(count)
+        ]
+        await asyncio.sleep(0.5)
+        await context.fleet.stop_node(name, signal.Signals[signal_name])
+        return await asyncio.gather(*streams)
+
+    context.streams = run(context, play())
+    context.stopped = name
+
+
+@then("{cut} of the streams were cut")
+def streams_cut(context, cut):
+    whole = [r for r in context.streams if r.code == 200]
+    if cut == "none":
+        assert len(whole) == len(context.streams), [r.code for r in context.streams]
+    else:
+        assert len(whole) < len(context.streams)
+
+
+@then("within 5 s no other node hands out its address")
+def not_handed_out(context):
+    fleet = context.fleet
+    address = f"127.0.0.1:{fleet.ports[context.stopped][0]}"
+
+    async def play():
+        for _ in range(100):
+            named = [
+                address in await fleet.resolve(name)
+                for name in fleet.ports
+                if name != context.stopped
+            ]
+            if not any(named):
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    assert run(context, play())
+
+
+@then("it serves again after a restart")
+def serves_again(context):
+    fleet = context.fleet
+    run(context, fleet.start_node(context.stopped))
+    run(context, fleet.until_ready(context.stopped))
+    response = run(context, fleet.request(context.stopped, "/book/x", "again"))
+    assert response.code == 200, response.code
+
+
+@when('the settings of "{name}" are rewritten: {change}')
+def rewrite(context, name, change):
+    path = context.fleet.folder / f"{name}.json"
+    if change == "not JSON at all":
+        path.write_text("{")
+        return
+    settings = context.fleet.settings(name)
+    settings["bounds"]["drain_ms"] = 1500
+    path.write_text(json.dumps(settings))
+
+
+@then('its log tells "{event}" and it serves on')
+def log_tells(context, event):
+    async def play():
+        for _ in range(60):
+            lines = context.fleet.log_lines("node-0")
+            if any(line["message"] == event for line in lines):
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    assert run(context, play())
+    response = run(context, context.fleet.request("node-0", "/book/x", "r1"))
+    assert response.code == 200, response.code
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -63,6 +63,10 @@
 # When a submitter that asked again should ask the next time.
 CONFIRMED_AGAIN_S = 0.4
 MAX_ANSWER_BYTES = 1024 * 1024
+# Time that a request needs after a stage's pieces have begun, its engine included.
+REST_OF_REQUEST_S = 2.2
+# Share of their time to live that results may wait for the stage that needs them.
+INPUT_TTL_SHARE = 0.4
 FREE_TIMEOUT_S = 1.0
 # Results to free are collected this long, so that one call frees several.
 FREE_DELAY_S = 0.01
@@ -164,6 +168,7 @@
                 now_s,
                 now_s + job.deadline_s,
                 now_s + job.target_s,
+                now_s + _can_wait_s(job, limits),
                 job.priority,
                 job.preferred_domain,
                 job.far_bytes,
@@ -476,3 +481,11 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _can_wait_s(job: StageJob, limits: StageLimits) -> float:
+    """Return how long a job may wait before its request or its inputs are lost."""
+    wait_s = job.deadline_s - REST_OF_REQUEST_S
+    if job.inputs:
+        wait_s = min(wait_s, INPUT_TTL_SHARE * limits.result_ttl_s)
+    return wait_s
--- a/egretshed/stagework/queue.py
+++ b/egretshed/stagework/queue.py
@@ -30,6 +30,8 @@
     """One piece that waits; times are on the owner's monotonic clock.
 
     `far_bytes` cross between failure domains if it is not made in `preferred_domain`.
+    From `must_start_s` on it goes before all others: its request, or what it is made
+    from, would be lost otherwise.
     """
 
     ticket: tuple[str, int]
@@ -37,6 +39,7 @@
     queued_s: float
     deadline_at_s: float
     target_at_s: float
+    must_start_s: float
     priority: int
     preferred_domain: str
     far_bytes: int
@@ -63,10 +66,19 @@
     """Return the sort key of a piece: smaller goes first.
 
     Within a priority, pieces that can still end on time go before those that cannot,
-    the earliest target first, so that one late request does not make others late.
+    the earliest target first, so that one late request does not make others late. Late
+    ones are not put off until they are lost.
     """
     is_late = now_s + call_s > piece.target_at_s
-    return piece.priority, is_late, piece.target_at_s, piece.queued_s, piece.ticket
+    can_wait = now_s < piece.must_start_s
+    return (
+        can_wait,
+        piece.priority,
+        is_late,
+        piece.target_at_s,
+        piece.queued_s,
+        piece.ticket,
+    )
 
 
 def startable(
--- a/egretshed/stagework/tests/queue.feature
+++ b/egretshed/stagework/tests/queue.feature
@@ -7,12 +7,14 @@
     When the next call for a server with room <room> MB in domain "<domain>" is chosen
     Then it holds <chosen>
 
-    # Pieces: job:priority:target in s:size in MB:preferred domain:waiting for s
+    # Pieces: job:priority:target in s:size in MB:preferred domain:waiting for s, and
+    # in how many seconds it must have started
     Examples:
       | case                                 | pieces                                 | room | domain | chosen  |
       | the earliest target first            | a:0:2:1::0 b:0:1:1::0                  | 18   | x      | b a     |
       | the more urgent priority first       | a:1:1:1::0 b:0:2:1::0                  | 18   | x      | b a     |
       | on time before late                  | a:0:0.1:1::0 b:0:2:1::0                | 18   | x      | b a     |
+      | late, and about to be lost           | a:1:0.1:1::4:0 b:0:2:1::0              | 18   | x      | a b     |
       | at most a full call                  | a:0:1:1::0 b:0:2:1::0 c:0:3:1::0 d:0:4:1::0 e:0:5:1::0 | 18 | x | a b c d |
       | as many as memory allows             | a:0:1:3::0 b:0:2:3::0 c:0:3:3::0       | 6    | x      | a b     |
       | a small job passes a large one       | a:0:1:9::0 b:0:2:0.1::0                | 6    | x      | b       |
--- a/egretshed/stagework/tests/replay.py
+++ b/egretshed/stagework/tests/replay.py
@@ -113,6 +113,7 @@
                     now_s,
                     end_s,
                     now_s + arrival.target_s,
+                    end_s,
                     arrival.priority,
                     arrival.domain,
                     arrival.result_bytes,
--- a/egretshed/stagework/tests/steps/queue_steps.py
+++ b/egretshed/stagework/tests/steps/queue_steps.py
@@ -39,7 +39,7 @@
 
 
 def _piece(text):
-    job, priority, target, size, domain, waited = text.split(":")
+    job, priority, target, size, domain, waited, *lost = text.split(":")
     size_bytes = int(float(size) * MB)
     return WaitingPiece(
         (job, 0),
@@ -47,6 +47,7 @@
         NOW_S - float(waited),
         NOW_S + 10,
         NOW_S + float(target),
+        NOW_S + float(lost[0] if lost else 9),
         int(priority),
         domain,
         size_bytes,
--- /dev/null
+++ b/standins/users_platform/fleet.py
@@ -0,0 +1,265 @@
+"""A store, servers and entry nodes on loopback, for tests of the whole path."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import (
+    Any,
+    NamedTuple,
+)
+
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from standins.users_platform.servers import (
+    ServerState,
+    server_application,
+)
+from standins.users_platform.store import (
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    RowStoreState,
+    store_application,
+)
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = "127.0.0.1"
+READY_LIMIT_S = 20.0
+POLL_S = 0.05
+PORTS_A_NODE = 5
+CUT = 599
+
+
+def configuration(version: int = 1, **changes: Any) -> dict:
+    """Return a configuration with one route of each kind."""
+    base = {"timeout_ms": 5000, "target_latency_ms": 1000, "priority": 1}
+    stages = [
+        {"service": "first", "after": [], "byte_count": 1000},
+        {"service": "second", "after": [0], "byte_count": 1000},
+    ]
+    streaming = {
+        "type": "streaming",
+        "service": "engine",
+        "sticky": True,
+        "target_itl_ms": 600,
+    }
+    once = {"type": "non_idempotent", "service": "plain", "max_attempts": 1}
+    again = {"type": "idempotent", "service": "plain", "max_attempts": 2}
+    routes = {
+        "book": once,
+        "read": again,
+        "ask": {**streaming, "max_attempts": 1, "stages": stages},
+        "digest": {**streaming, "max_attempts": 2, "resumable": True, "stages": []},
+    }
+    segments = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "call_ms": 10,
+        "item_ms": 1,
+        "headroom_mb": 1.0,
+        "handle_ttl_s": 4.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "hostname": "h.example",
+                "path_prefix": f"/{name}/",
+                "public": False,
+                **base,
+                **route,
+            }
+            for name, route in routes.items()
+        ],
+        "services": [
+            {"name": "plain", "max_conns": 100},
+            {"name": "first", "segments": segments},
+            {"name": "second", "segments": segments},
+            {"name": "engine", "engine": {"slots": 8, "kv_capacity": 100000}},
+        ],
+        "tenants": [{"name": "cust", "api_keys": ["key-1", "key-2"]}],
+        **changes,
+    }
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for sock in held:
+            sock.bind((HOST, 0))
+        return [sock.getsockname()[1] for sock in held]
+    finally:
+        for sock in held:
+            sock.close()
+
+
+class CutAnswer(NamedTuple):
+    """Stands for an answer whose connection was closed before its end."""
+
+    code: int
+    error: str
+    body: bytes = b""
+
+
+class Fleet:
+    """Entry nodes as processes of their own before stand-ins in this process."""
+
+    def __init__(self, nodes: int = 3, servers: int = 2):
+        self.store = RowStoreState()
+        self.node_count = nodes
+        kinds = {
+            "plain": "plain",
+            "first": "stage",
+            "second": "stage",
+            "engine": "engine",
+        }
+        self.servers = {
+            f"{service}-{number}": ServerState(
+                f"{service}-{number}", service, "abc"[number % 3], kind
+            )
+            for service, kind in kinds.items()
+            for number in range(servers)
+        }
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.ports: dict[str, list[int]] = {}
+        self.client = AsyncHTTPClient(force_instance=True, max_clients=200)
+        self._listening: list[HTTPServer] = []
+        self._folder = tempfile.TemporaryDirectory(prefix="egretshed-")
+        self.folder = Path(self._folder.name)
+
+    async def __aenter__(self) -> "Fleet":
+        self.store_port = self._listen(store_application(self.store))
+        self.store.put_json(OPERATOR_TABLE, "config", configuration())
+        for server in self.servers.values():
+            server.address = f"{HOST}:{self._listen(server_application(server))}"
+            self.store.put_json(SERVER_TABLE, server.server_id, server.entry())
+        for number in range(self.node_count):
+            name = f"node-{number}"
+            self.ports[name] = free_ports(PORTS_A_NODE)
+            await self.start_node(name)
+        await self.until_ready(*self.ports)
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        for name in list(self.processes):
+            await self.stop_node(name, signal.SIGKILL)
+        for server in self._listening:
+            server.stop()
+            await server.close_all_connections()
+        self.client.close()
+        self._folder.cleanup()
+
+    def _listen(self, application: Any) -> int:
+        server = HTTPServer(application)
+        sockets = bind_sockets(0, HOST)
+        server.add_sockets(sockets)
+        self._listening.append(server)
+        return sockets[0].getsockname()[1]
+
+    def settings(self, name: str) -> dict:
+        callers, ready, directory, metrics, peers = self.ports[name]
+        domain = "abc"[int(name.rpartition("-")[2]) % 3]
+        return {
+            "node": {
+                "node_id": name,
+                "failure_domain": domain,
+                "region": "r",
+                "host": HOST,
+                "peer_port": peers,
+            },
+            "platform": {
+                "url": f"http://{HOST}:{self.store_port}",
+                "adapter": "row_store",
+            },
+            "peers": {"keys": ["unset"]},
+            "membership": {"probe_period_s": 0.2, "suspicion_s": 0.6},
+            "listeners": {
+                "callers": f"{HOST}:{callers}",
+                "readiness": f"{HOST}:{ready}",
+                "directory": f"{HOST}:{directory}",
+                "metrics": f"{HOST}:{metrics}",
+            },
+            "failure_domain_regions": {"a": "r", "b": "r", "c": "r"},
+            "bounds": {"shutdown_s": 4.0},
+        }
+
+    async def start_node(self, name: str) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings(name)))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "egretshed.daemon.main",
+                cwd=ROOT,
+                env={**os.environ, "EGRETSHED_NODE_FILE": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def stop_node(self, name: str, number: int = signal.SIGTERM) -> int:
+        """Signal a node and return its exit status."""
+        process = self.processes.pop(name)
+        if process.returncode is None:
+            process.send_signal(number)
+        return await process.wait()
+
+    async def until_ready(self, *names: str) -> None:
+        """Return once the nodes say that they serve."""
+        async with asyncio.timeout(READY_LIMIT_S):
+            for name in names:
+                while await self._status(name, 1, "/readyz") != 200:
+                    await asyncio.sleep(POLL_S)
+
+    async def _status(self, name: str, port: int, path: str) -> int:
+        url = f"http://{HOST}:{self.ports[name][port]}{path}"
+        try:
+            return (await self.client.fetch(url, raise_error=False)).code
+        except OSError:
+            return 0
+
+    async def resolve(self, name: str) -> list[str]:
+        """Return the addresses that a node hands out."""
+        url = f"http://{HOST}:{self.ports[name][2]}/resolve?name=h.example"
+        response = await self.client.fetch(url, raise_error=False)
+        return json.loads(response.body).get("addresses", [])
+
+    async def request(
+        self, name: str, path: str, request_id: str, **headers: str
+    ) -> Any:
+        """Send one request through a node; returns tornado's response."""
+        url = f"http://{HOST}:{self.ports[name][0]}{path}"
+        fields = {
+            "Host": "h.example",
+            "Request-Id": request_id,
+            "Authorization": "Token key-1",
+            "Deadline-Ms": "4000",
+            **{key.replace("_", "-"): value for key, value in headers.items()},
+        }
+        method = "GET" if path.startswith("/read/") else "POST"
+        try:
+            return await self.client.fetch(
+                url,
+                method=method,
+                headers=fields,
+                body=None if method == "GET" else b"body",
+                raise_error=False,
+                request_timeout=8.0,
+            )
+        except HTTPStreamClosedError as error:
+            return CutAnswer(CUT, str(error))
+
+    def log_lines(self, name: str) -> list[dict]:
+        """Return what a node has logged so far."""
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
--- /dev/null
+++ b/standins/users_platform/servers.py
@@ -0,0 +1,163 @@
+"""Backend servers of the users' platform: plain, stage and engine.
+
+Each one records what it ran, so that a test can check promises by eye.
+"""
+
+import asyncio
+import itertools
+import json
+from collections import Counter
+from dataclasses import (
+    dataclass,
+    field,
+)
+
+from tornado.iostream import StreamClosedError
+from tornado.web import (
+    Application,
+    RequestHandler,
+)
+
+_HANDLES = itertools.count(1)
+
+
+@dataclass
+class ServerState:
+    """One server and how it misbehaves now.
+
+    `mode` is ``ok``, ``full`` (503, proof of not running), ``error`` (500), ``hang``
+    (runs, never answers), ``cut`` (runs, closes midway) or ``other`` (421).
+    """
+
+    server_id: str
+    service: str
+    domain: str
+    kind: str
+    address: str = ""
+    mode: str = "ok"
+    work_s: float = 0.01
+    events: int = 5
+    event_s: float = 0.01
+    ran: Counter = field(default_factory=Counter)
+    broken_off: set[str] = field(default_factory=set)
+    pieces: Counter = field(default_factory=Counter)
+    results: set[str] = field(default_factory=set)
+    seen_headers: dict[str, dict] = field(default_factory=dict)
+
+    def entry(self, phase: str = "ready") -> dict:
+        """Return the server's entry in the platform's list."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.domain,
+            "version": "v1",
+            "slots": 8,
+            "state": phase,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+
+
+class _Request(RequestHandler):
+    def initialize(self, state: ServerState) -> None:
+        self.state = state
+
+    async def get(self) -> None:
+        await self._serve()
+
+    async def post(self) -> None:
+        await self._serve()
+
+    async def _serve(self) -> None:
+        state = self.state
+        request_id = self.request.headers.get("Request-Id", "")
+        expected = self.request.headers.get("Expect-Replica", state.server_id)
+        self.set_header("Request-Id", request_id)
+        if state.mode == "other" or expected != state.server_id:
+            self.set_status(421)
+            return
+        if state.mode == "full":
+            self.set_status(503)
+            self.set_header("Not-Executed", "1")
+            return
+        state.ran[request_id] += 1
+        state.seen_headers[request_id] = dict(self.request.headers)
+        self.set_header("Replica-Signature", f"sig-{request_id}")
+        if state.mode == "hang":
+            await asyncio.sleep(60)
+        if state.mode == "error":
+            self.set_status(500)
+            self.write("failed")
+            return
+        if state.kind == "engine":
+            await self._stream(request_id)
+        else:
+            await asyncio.sleep(state.work_s)
+            self.write(f"answer to {request_id} {self.request.uri}")
+
+    async def _stream(self, request_id: str) -> None:
+        state = self.state
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        self.set_header("Content-Type", "text/event-stream")
+        try:
+            for number in range(first, state.events + 1):
+                await asyncio.sleep(state.event_s)
+                if state.mode == "cut" and number == state.events - 1:
+                    self.write(f"id: {number}\nda")
+                    await self.flush()
+                    self.request.connection.stream.close()
+                    return
+                self.write(f"id: {number}\ndata: {request_id}\n\n")
+                await self.flush()
+        except StreamClosedError:
+            state.broken_off.add(request_id)
+
+    def on_connection_close(self) -> None:
+        self.state.broken_off.add(self.request.headers.get("Request-Id", ""))
+
+
+class _StageRun(RequestHandler):
+    def initialize(self, state: ServerState) -> None:
+        self.state = state
+
+    async def post(self) -> None:
+        state = self.state
+        if state.mode == "full":
+            self.set_status(503)
+            self.set_header("Not-Executed", "1")
+            return
+        await asyncio.sleep(state.work_s)
+        results = []
+        for entry in json.loads(self.request.body)["entries"]:
+            piece = (entry["id"], entry["stage"], entry["segment"])
+            state.pieces[piece] += 1
+            if state.mode == "error":
+                results.append({"reason": "error"})
+                continue
+            handle = f"{state.address}/{next(_HANDLES)}"
+            state.results.add(handle)
+            results.append({"handle": handle})
+        self.write({"entries": results})
+
+
+class _StageFree(RequestHandler):
+    def initialize(self, state: ServerState) -> None:
+        self.state = state
+
+    def post(self) -> None:
+        self.state.results -= set(json.loads(self.request.body)["handles"])
+        self.write({})
+
+
+def server_application(state: ServerState) -> Application:
+    """Return the HTTP application of a server."""
+    options = {"state": state}
+    return Application(
+        [
+            ("/stage-run", _StageRun, options),
+            ("/stage-free", _StageFree, options),
+            ("/.*", _Request, options),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/standins/users_platform/store.py
@@ -0,0 +1,161 @@
+"""A row store with a feed, and the faults that its users must bear."""
+
+import asyncio
+import base64
+import json
+from typing import NamedTuple
+
+from tornado.web import (
+    Application,
+    RequestHandler,
+)
+
+POLL_S = 0.01
+OPERATOR_TABLE = "op"
+SERVER_TABLE = "servers"
+
+
+class StoredRow(NamedTuple):
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class RowStoreState:
+    """Rows, their history, and how the store misbehaves now.
+
+    `mode` is ``ok``, ``busy`` (503), ``silent`` (no answer) or ``lost`` (writes are
+    done and not answered).
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: dict[tuple[str, str, str], StoredRow] = {}
+        self.history: list[StoredRow] = []
+        self.oldest = 0
+        self.mode = "ok"
+        self.calls = 0
+
+    def put(self, table: str, key: str, value: bytes | None, part: str = "") -> None:
+        self.version += 1
+        row = StoredRow(table, part, key, value, self.version)
+        self.history.append(row)
+        if value is None:
+            self.rows.pop((table, part, key), None)
+        else:
+            self.rows[table, part, key] = row
+
+    def put_json(self, table: str, key: str, value: object) -> None:
+        self.put(table, key, json.dumps(value).encode())
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.history.clear()
+        self.oldest = self.version
+
+    def table(self, table: str, part: str) -> list[StoredRow]:
+        found = [r for r in self.rows.values() if (r.table, r.part) == (table, part)]
+        return sorted(found, key=lambda row: row.key)
+
+    def after(self, table: str, version: int) -> list[StoredRow]:
+        return [r for r in self.history if r.table == table and r.version > version]
+
+
+def _wire(row: StoredRow) -> dict:
+    return {
+        "table": row.table,
+        "part": row.part,
+        "key": row.key,
+        "value": base64.b64encode(row.value or b"").decode(),
+        "row_version": row.version,
+        "deleted": row.value is None,
+    }
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: RowStoreState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        self.state.calls += 1
+        if self.state.mode == "busy":
+            self.set_status(503)
+            self.finish({})
+        elif self.state.mode == "silent":
+            while self.state.mode == "silent":
+                await asyncio.sleep(POLL_S)
+            self.set_status(503)
+            self.finish({})
+
+    def answer(self, rows: list[StoredRow], **fields: object) -> None:
+        wire = [_wire(row) for row in rows]
+        self.write({"rows": wire, "row_version": self.state.version, **fields})
+
+
+class _Get(_Handler):
+    def get(self) -> None:
+        state = self.state
+        table, part = self.get_argument("table"), self.get_argument("part", "")
+        start = self.get_argument("from", "")
+        limit = int(self.get_argument("limit", "500"))
+        rows = [row for row in state.table(table, part) if row.key >= start]
+        self.answer(rows[:limit], has_more=len(rows) > limit)
+
+
+class _Feed(_Handler):
+    async def get(self) -> None:
+        state = self.state
+        table = self.get_argument("table")
+        after = int(self.get_argument("after"))
+        end_s = asyncio.get_running_loop().time()
+        end_s += int(self.get_argument("wait_ms")) / 1000
+        while True:
+            if after < state.oldest:
+                self.set_status(410)
+                self.write({})
+                return
+            rows = state.after(table, after)
+            if rows or asyncio.get_running_loop().time() >= end_s:
+                self.answer(rows)
+                return
+            await asyncio.sleep(POLL_S)
+
+
+class _Transact(_Handler):
+    async def post(self) -> None:
+        body = json.loads(self.request.body)
+        state = self.state
+        for row in (*body["write"], *body["remove"]):
+            if row["table"] in (OPERATOR_TABLE, SERVER_TABLE):
+                self.set_status(403)
+                return
+        for row in body["expected_revision"]:
+            known = state.rows.get((row["table"], row["part"], row["key"]))
+            if (known.version if known else 0) != row["row_version"]:
+                self.set_status(412)
+                self.write({"rows": [_wire(known)] if known else []})
+                return
+        for row in body["write"]:
+            value = base64.b64decode(row["value"])
+            state.put(row["table"], row["key"], value, row["part"])
+        for row in body["remove"]:
+            state.put(row["table"], row["key"], None, row["part"])
+        if state.mode == "lost":
+            self.request.connection.stream.close()
+            return
+        self.write({"row_version": state.version})
+
+
+def store_application(state: RowStoreState) -> Application:
+    """Return the HTTP application of a store."""
+    options = {"state": state}
+    return Application(
+        [
+            ("/rows-get", _Get, options),
+            ("/rows-feed", _Feed, options),
+            ("/rows-tx", _Transact, options),
+        ],
+        log_function=lambda handler: None,
+    )
