Take test ports that outgoing connections cannot take

Cause: in one whole test run beside seven other suites a node never became ready; its port came from the range of outgoing connections and was free only a moment before. Ruled out: nothing else is known; the node's log was not kept. Change: ports below that range; a node that is not ready shows its exit status and log. Conclusion: kept; if it comes back the log tells.

--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -35,6 +36,8 @@
 POLL_S = 0.05
 PORTS_A_NODE = 5
 CUT = 599
+LISTEN_PORTS = (11_000, 31_000)
+LOG_TAIL_BYTES = 2_000
 
 
 def configuration(version: int = 1, **changes: Any) -> dict:
@@ -92,15 +95,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    held = [socket.socket() for _ in range(count)]
-    try:
-        for sock in held:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in held]
-    finally:
-        for sock in held:
-            sock.close()
+    """Return ports that nobody listens on.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections, so that none is taken before the node listens.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class CutAnswer(NamedTuple):
@@ -216,10 +226,15 @@
 
     async def until_ready(self, *names: str) -> None:
         """Return once the nodes say that they serve."""
-        async with asyncio.timeout(READY_LIMIT_S):
-            for name in names:
-                while await self._status(name, 1, "/readyz") != 200:
-                    await asyncio.sleep(POLL_S)
+        for name in names:
+            try:
+                async with asyncio.timeout(READY_LIMIT_S):
+                    while await self._status(name, 1, "/readyz") != 200:
+                        await asyncio.sleep(POLL_S)
+            except TimeoutError:
+                status = self.processes[name].returncode
+                log = (self.folder / f"{name}.log").read_bytes()[-LOG_TAIL_BYTES:]
+                raise AssertionError(f"{name} ({status}) is not ready: {log}") from None
 
     async def _status(self, name: str, port: int, path: str) -> int:
         url = f"http://{HOST}:{self.ports[name][port]}{path}"
