Let a few nodes read the platform's store for all

Change: five readers, chosen by hashing, follow the store; the others follow one of them with short waits, and the store itself if a reader fails or is behind.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -21,7 +21,10 @@
 from egretshed.peers.network import TcpPeerNetwork
 from egretshed.peers.shared_key import obtain_shared_key
 from egretshed.placement.engines import EnginePlacer
-from egretshed.platform.interface import Platform
+from egretshed.platform.interface import (
+    ChangeFeed,
+    Platform,
+)
 from egretshed.platform.records import (
     MalformedRecord,
     decode_server,
@@ -86,10 +89,16 @@
         self.pool = ConnectionPool(env)
         self.store = RowStore(env, self.pool)
         self.in_force = InForce(env)
+        self.copies: PeerCopies | None = None
         self.operators = TableFollower(
-            env, self.store, OPERATOR_TABLE, self.in_force.apply
+            env,
+            lambda: self._source(self.operators),
+            OPERATOR_TABLE,
+            self.in_force.apply,
+        )
+        self.listed = TableFollower(
+            env, lambda: self._source(self.listed), SERVER_TABLE, self._on_servers
         )
-        self.listed = TableFollower(env, self.store, SERVER_TABLE, self._on_servers)
         self.servers = ServerRegistry(
             env, self.in_force.is_evacuated, self._store_is_doubtful, self._node_ids
         )
@@ -133,6 +142,11 @@
             self.budget,
         )
 
+    def _source(self, follower: TableFollower) -> ChangeFeed:
+        if self.copies is None:
+            return self.store
+        return self.copies.source(follower, self.store)
+
     def _configuration(self):
         table = self.in_force.table
         return table.configuration if table else None
--- a/egretshed/feeds/follower.py
+++ b/egretshed/feeds/follower.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -24,29 +25,33 @@
 # A feed call that waits this long without an answer is on a silent connection. It stays
 # under the time in which a change must be in force.
 FEED_WAIT_S = 2.5
+# Changed rows kept for peers that follow this node.
+HISTORY_ROWS = 1000
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 RETRY_FACTOR = 1.7
 
 
 class TableState(NamedTuple):
-    """A whole table at one version, as handed to a peer that is behind."""
+    """A table at one version, as handed to a peer: whole, or what changed."""
 
     version: int
     rows: tuple[StoredRow, ...]
+    is_whole: bool = True
 
 
 class TableFollower:
     """State of one table; `on_change` gets every row that changed.
 
     `on_change(rows, is_whole)` is called with all rows after a whole read, and with the
-    changed ones otherwise.
+    changed ones otherwise. `feed` returns where to read from now: the store, or a peer
+    that reads the store.
     """
 
     def __init__(
         self,
         env: Environment,
-        feed: ChangeFeed,
+        feed: Callable[[], ChangeFeed],
         table: str,
         on_change: Callable[[tuple[StoredRow, ...], bool], None],
     ):
@@ -60,6 +65,9 @@
         self.confirmed_s: float | None = None
         self.regained_s: float | None = None
         self._must_read_whole = True
+        self._history: deque[StoredRow] = deque(maxlen=HISTORY_ROWS)
+        self._history_from = 0
+        self._changed = asyncio.Event()
 
     @property
     def is_loaded(self) -> bool:
@@ -74,6 +82,26 @@
     def state(self) -> TableState:
         return TableState(self.version, tuple(self.rows.values()))
 
+    def changes_after(self, version: int) -> TableState:
+        """Return what changed after a version, or the whole table if that is lost."""
+        if version < self._history_from:
+            return self.state()
+        changed = tuple(row for row in self._history if row.version > version)
+        return TableState(self.version, changed, is_whole=False)
+
+    async def wait_changed(self, after: int, wait_s: float) -> None:
+        """Return once the version is higher than `after`, or the time is over."""
+        end_s = self.env.clock.monotonic_s() + wait_s
+        while self.version <= after:
+            left_s = end_s - self.env.clock.monotonic_s()
+            if left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
     def adopt(self, state: TableState) -> bool:
         """Take over a peer's newer state; return whether it was newer."""
         if state.version <= self.version and self.is_loaded:
@@ -105,14 +133,14 @@
 
     async def _step(self) -> None:
         if self._must_read_whole:
-            changes = await self.feed.read_table(self.table)
-            self._note_regained()
+            changes = await self.feed().read_table(self.table)
+            self._note_regained(changes.regained_age_s)
             self._apply_whole(changes, "store")
             self._must_read_whole = False
             return
         asked_for = self.version
-        changes = await self.feed.changes(self.table, asked_for, FEED_WAIT_S)
-        self._note_regained()
+        changes = await self.feed().changes(self.table, asked_for, FEED_WAIT_S)
+        self._note_regained(changes.regained_age_s)
         self._apply_changes(changes)
 
     def _apply_whole(self, changes: TableChanges, source: str) -> None:
@@ -125,6 +153,9 @@
         self.rows = {(row.part, row.key): row for row in changes.rows}
         self.version = changes.version
         self.confirmed_s = self.env.clock.monotonic_s()
+        self._history.clear()
+        self._history_from = self.version
+        self._tell_changed()
         log_event(
             self.env.logger,
             "table_read",
@@ -146,8 +177,16 @@
         self.version = max(self.version, changes.version)
         self.confirmed_s = self.env.clock.monotonic_s()
         if newer:
+            if len(self._history) + len(newer) > HISTORY_ROWS:
+                self._history_from = self._history[0].version if self._history else 0
+            self._history.extend(newer)
+            self._tell_changed()
             self.on_change(newer, False)
 
+    def _tell_changed(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _is_newer(self, row: StoredRow) -> bool:
         known = self.rows.get((row.part, row.key))
         return known is None or row.version > known.version
@@ -163,7 +202,10 @@
             )
         self.is_connected = False
 
-    def _note_regained(self) -> None:
+    def _note_regained(self, peer_age_s: float | None) -> None:
+        if peer_age_s is not None:
+            since_s = self.env.clock.monotonic_s() - peer_age_s
+            self.regained_s = max(self.regained_s or 0.0, since_s)
         if not self.is_connected:
             self.regained_s = self.env.clock.monotonic_s()
             log_event(
@@ -175,9 +217,3 @@
             )
         self.is_connected = True
         self.confirmed_s = self.env.clock.monotonic_s()
-
-
-async def wait_until(condition: Callable[[], bool], poll_s: float = 0.05) -> None:
-    """Return once `condition` holds."""
-    while not condition():
-        await asyncio.sleep(poll_s)
--- a/egretshed/feeds/peer_copies.py
+++ b/egretshed/feeds/peer_copies.py
@@ -1,13 +1,24 @@
-"""Copies of followed tables from peers, for a node that the store does not serve."""
+"""Tables from peers: for nodes that leave reading to others, or that the store refuses.
+
+Load pattern: every node of a large fleet waits at the store for changes that hardly
+ever come, and each call is paid for. A few nodes, chosen by hashing, read the store;
+the others wait at one of them in the same way. A reader that is silent, or whose own
+state is old, is passed over at once, and the store itself is the last resort.
+"""
 
 import asyncio
 
+import xxhash
+
 from egretshed.environment import Environment
 from egretshed.errors import (
+    HistoryLost,
     PeerRejected,
     PeerUnavailable,
+    PlatformUnavailable,
 )
 from egretshed.feeds.follower import (
+    FEED_WAIT_S,
     TableFollower,
     TableState,
 )
@@ -21,18 +32,60 @@
     PeerNetwork,
     Sender,
 )
-from egretshed.platform.interface import StoredRow
+from egretshed.platform.interface import (
+    ChangeFeed,
+    StoredRow,
+    TableChanges,
+)
 
+# A call to a reader waits this long for a change, so that a silent one is found while
+# a change can still be in force in time.
+PEER_WAIT_S = 0.5
+PEER_SLACK_S = 0.25
+# A reader whose state was confirmed longer ago than this is behind the store.
+READER_AGE_LIMIT_S = FEED_WAIT_S + 0.8
+# How long a node reads the store itself after a reader failed it.
+DIRECT_S = 3.0
 # How often a node without the store asks a peer; a change must be in force within
 # seconds also there.
 PERIOD_S = 0.4
-# A table whose state was confirmed this recently is not asked for.
-FRESH_S = 3.2
 CALL_TIMEOUT_S = 0.4
+LONG_AGO_MS = 1_000_000
+
+
+class PeerFeed:
+    """`ChangeFeed` that follows one reader."""
+
+    def __init__(self, peers: PeerNetwork, node_id: str):
+        self.peers = peers
+        self.node_id = node_id
+
+    async def read_table(self, table: str, part: str = "") -> TableChanges:
+        reply = await self._call(TableFetch(table, -1), PEER_SLACK_S)
+        if not reply.is_whole:
+            raise PlatformUnavailable(f"{self.node_id} has no whole table")
+        return _changes(reply)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> TableChanges:
+        wait_s = min(wait_s, PEER_WAIT_S)
+        message = TableFetch(table, after, int(wait_s * 1000))
+        reply = await self._call(message, wait_s + PEER_SLACK_S)
+        if reply.is_whole and reply.version > after:
+            raise HistoryLost(f"{self.node_id} has no changes after {after}")
+        return _changes(reply)
+
+    async def _call(self, message: TableFetch, timeout_s: float) -> TableRows:
+        try:
+            reply = await self.peers.call(self.node_id, message, timeout_s)
+        except (PeerUnavailable, PeerRejected) as error:
+            raise PlatformUnavailable(f"reader {self.node_id}: {error}") from error
+        if reply.age_ms > READER_AGE_LIMIT_S * 1000:
+            raise PlatformUnavailable(f"reader {self.node_id} is behind the store")
+        return reply
 
 
 class PeerCopies:
-    """Asks random peers for newer tables while the store is away, and answers them."""
+    """Chooses each follower's source, and exchanges tables with peers."""
 
     def __init__(
         self,
@@ -45,10 +98,28 @@
         self.peers = peers
         self.membership = membership
         self.followers = followers
+        self._direct_until_s = 0.0
         peers.handle(TableFetch, self._answer)
 
+    def source(self, follower: TableFollower, store: ChangeFeed) -> ChangeFeed:
+        """Return where to read a table from now."""
+        now_s = self.env.clock.monotonic_s()
+        if not follower.is_connected:
+            # The last source failed; the store tells the truth.
+            self._direct_until_s = now_s + DIRECT_S
+        own_id = self.env.identity.node_id
+        readers = self._readers()
+        if own_id in readers or now_s < self._direct_until_s:
+            return store
+        return PeerFeed(self.peers, self.env.random.choice(readers))
+
+    def _readers(self) -> list[str]:
+        ids = [m.node_id for m in self.membership.reachable() if not m.leaving]
+        ids.sort(key=lambda node_id: xxhash.xxh64_intdigest(f"read/{node_id}".encode()))
+        return ids[: self.env.settings.feeds.store_readers]
+
     async def run(self) -> None:
-        """Ask until cancelled."""
+        """Ask peers for tables that the store does not give, until cancelled."""
         while True:
             await self.env.clock.sleep(PERIOD_S * self.env.random.uniform(0.8, 1.2))
             behind = [f for f in self.followers.values() if self._is_behind(f)]
@@ -56,7 +127,7 @@
                 await asyncio.gather(*(self._fetch(f) for f in behind))
 
     def _is_behind(self, follower: TableFollower) -> bool:
-        return not follower.is_connected or follower.age_s() > FRESH_S
+        return not follower.is_connected or follower.age_s() > READER_AGE_LIMIT_S
 
     async def _fetch(self, follower: TableFollower) -> None:
         own_id = self.env.identity.node_id
@@ -64,24 +135,35 @@
         if not others:
             return
         node_id = self.env.random.choice(others)
-        message = TableFetch(follower.table, follower.version)
+        message = TableFetch(follower.table, -1)
         try:
             reply = await self.peers.call(node_id, message, CALL_TIMEOUT_S)
         except (PeerUnavailable, PeerRejected):
+            # Another peer is asked the next time.
             return
-        if reply.version > follower.version:
-            rows = tuple(
-                StoredRow(row.part, row.key, row.value, row.version)
-                for row in reply.rows
-            )
-            follower.adopt(TableState(reply.version, rows))
+        if reply.is_whole and reply.version > follower.version:
+            follower.adopt(TableState(reply.version, _changes(reply).rows))
 
     async def _answer(self, sender: Sender, message: TableFetch) -> TableRows:
         follower = self.followers.get(message.table)
-        if follower is None or follower.version <= message.version:
-            return TableRows(0, [])
+        if follower is None or not follower.is_loaded:
+            raise PlatformUnavailable(f"table {message.table} is not known here")
+        if message.wait_ms:
+            await follower.wait_changed(message.version, message.wait_ms / 1000)
+        state = follower.changes_after(message.version)
         rows = [
-            TableRow(row.part, row.key, row.value, row.version)
-            for row in follower.rows.values()
+            TableRow(row.part, row.key, row.value, row.version) for row in state.rows
         ]
-        return TableRows(follower.version, rows)
+        age_ms = int(follower.age_s() * 1000)
+        regained_s = follower.regained_s or 0.0
+        regained_ms = int((self.env.clock.monotonic_s() - regained_s) * 1000)
+        return TableRows(
+            state.version, rows, state.is_whole, age_ms, min(regained_ms, LONG_AGO_MS)
+        )
+
+
+def _changes(reply: TableRows) -> TableChanges:
+    rows = tuple(
+        StoredRow(row.part, row.key, row.value, row.version) for row in reply.rows
+    )
+    return TableChanges(rows, reply.version, reply.regained_ms / 1000)
--- a/egretshed/feeds/tests/steps/follower_steps.py
+++ b/egretshed/feeds/tests/steps/follower_steps.py
@@ -110,7 +110,7 @@
     async def play():
         feed = context.feed
         env = make_environment(context.clock)
-        follower = TableFollower(env, feed, "t", lambda rows, is_whole: None)
+        follower = TableFollower(env, lambda: feed, "t", lambda rows, is_whole: None)
         task = asyncio.create_task(follower.run())
         await context.clock.advance(1.0)
         for event in context.events:
@@ -136,7 +136,9 @@
 @given("a follower at version {ours:d}")
 def follower_at(context, ours):
     env = make_environment(ManualClock())
-    context.follower = TableFollower(env, None, "t", lambda rows, is_whole: None)
+    context.follower = TableFollower(
+        env, lambda: None, "t", lambda rows, is_whole: None
+    )
     context.follower.adopt(TableState(ours, ()))
 
 
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -4119,18 +4119,21 @@
     Attributes:
      - table
      - version
+     - wait_ms
 
     """
 
     __slots__ = (
         'table',
         'version',
+        'wait_ms',
     )
 
 
-    def __init__(self, table=None, version=None,):
+    def __init__(self, table=None, version=None, wait_ms=None,):
         self.table = table
         self.version = version
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4151,6 +4154,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4169,6 +4177,10 @@
             oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4285,8 +4297,6 @@
             raise TProtocolException(message='Required field part is unset!')
         if self.key is None:
             raise TProtocolException(message='Required field key is unset!')
-        if self.value is None:
-            raise TProtocolException(message='Required field value is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
         return
@@ -4315,18 +4325,27 @@
     Attributes:
      - version
      - rows
+     - is_whole
+     - age_ms
+     - regained_ms
 
     """
 
     __slots__ = (
         'version',
         'rows',
+        'is_whole',
+        'age_ms',
+        'regained_ms',
     )
 
 
-    def __init__(self, version=None, rows=None,):
+    def __init__(self, version=None, rows=None, is_whole=None, age_ms=None, regained_ms=None,):
         self.version = version
         self.rows = rows
+        self.is_whole = is_whole
+        self.age_ms = age_ms
+        self.regained_ms = regained_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4353,6 +4372,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.regained_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4374,6 +4408,18 @@
                 iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_whole is not None:
+            oprot.writeFieldBegin('is_whole', TType.BOOL, 3)
+            oprot.writeBool(self.is_whole)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.regained_ms is not None:
+            oprot.writeFieldBegin('regained_ms', TType.I32, 5)
+            oprot.writeI32(self.regained_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4382,6 +4428,12 @@
             raise TProtocolException(message='Required field version is unset!')
         if self.rows is None:
             raise TProtocolException(message='Required field rows is unset!')
+        if self.is_whole is None:
+            raise TProtocolException(message='Required field is_whole is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.regained_ms is None:
+            raise TProtocolException(message='Required field regained_ms is unset!')
         return
 
     def __repr__(self):
@@ -5073,6 +5125,7 @@
     None,  # 0
     (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
@@ -5087,6 +5140,9 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 2
+    (3, TType.BOOL, 'is_whole', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.I32, 'regained_ms', None, None, ),  # 5
 )
 all_structs.append(EngineRequest)
 EngineRequest.thrift_spec = (
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -255,22 +255,29 @@
   2: required list<string> handles,
 }
 
-// Asks a peer for a table of the platform's store that is newer than `version`.
+// Asks a peer for the changes of a table of the platform's store after `version`. With
+// `wait_ms` the reply waits for a change; without, the whole table is asked for.
 struct TableFetch {
   1: required string table,
   2: required i64 version,
+  3: optional i32 wait_ms,
 }
 
 struct TableRow {
   1: required string part,
   2: required string key,
-  3: required binary value,
+  3: optional binary value,   // absent for a row that was removed
   4: required i64 version,
 }
 
+// `is_whole` tells that rows that are not named do not exist. `age_ms` is how long ago
+// the sender's state was known to be current.
 struct TableRows {
   1: required i64 version,
   2: required list<TableRow> rows,
+  3: required bool is_whole,
+  4: required i32 age_ms,
+  5: required i32 regained_ms,   // how long ago the sender got the store back
 }
 
 // Asks the node that places prompts for an engine.
--- a/egretshed/platform/interface.py
+++ b/egretshed/platform/interface.py
@@ -45,10 +45,14 @@
 
 
 class TableChanges(NamedTuple):
-    """Rows of a table; a feed goes on from `version`."""
+    """Rows of a table; a feed goes on from `version`.
+
+    `regained_age_s` is how long ago a peer that passed them on got the store back.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    regained_age_s: float | None = None
 
 
 class ChangeFeed(Protocol):
--- a/egretshed/settings/schema.py
+++ b/egretshed/settings/schema.py
@@ -165,6 +165,12 @@
     heartbeat_ms: int = 1200
 
 
+class FeedSettings(NamedTuple):
+    """`store_readers` nodes read the platform's tables; the others follow them."""
+
+    store_readers: int = 5
+
+
 class Settings(NamedTuple):
     """The whole settings file."""
 
@@ -184,5 +190,6 @@
     shutdown: ShutdownSettings = ShutdownSettings()
     listeners: ListenerSettings = ListenerSettings()
     bounds: BoundSettings = BoundSettings()
+    feeds: FeedSettings = FeedSettings()
     failure_domain_regions: dict[str, str] = {}
     log_level: str = "INFO"
--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -201,6 +201,7 @@
             },
             "failure_domain_regions": {"a": "r", "b": "r", "c": "r"},
             "bounds": {"shutdown_s": 4.0},
+            "feeds": {"store_readers": 1},
         }
 
     async def start_node(self, name: str) -> None:
