--- a/egretshed/cli/main.py
+++ b/egretshed/cli/main.py
@@ -25,6 +25,7 @@
     Apply,
     Config,
 )
+from egretshed.cli.commands.explain import Explain
 from egretshed.cli.commands.plans import (
     Domain,
     Model,
@@ -76,6 +77,7 @@
         | Config
         | Apply
         | Send
+        | Explain
         | Domain
         | Model
         | NodeCommand
--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -120,7 +120,12 @@
         self.copies = PeerCopies(env, self.peers, self.membership, followers)
         owners = ServiceOwners(env, self.membership)
         self.placer = EnginePlacer(
-            env, self.peers, owners, self.servers, self._configuration
+            env,
+            self.peers,
+            owners,
+            self.servers,
+            self._configuration,
+            lambda: self.listed.version,
         )
         placement = Placement(env, self.servers, self.placer)
         client = StageClient(env, self.peers, owners, self.owner)
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -4467,6 +4467,7 @@
      - excluded
      - domains
      - domain_bytes
+     - request_id
 
     """
 
@@ -4480,10 +4481,11 @@
         'excluded',
         'domains',
         'domain_bytes',
+        'request_id',
     )
 
 
-    def __init__(self, ticket=None, service_name=None, part_ids=None, part_tokens=None, slack_ms=None, deadline_ms=None, excluded=None, domains=None, domain_bytes=None,):
+    def __init__(self, ticket=None, service_name=None, part_ids=None, part_tokens=None, slack_ms=None, deadline_ms=None, excluded=None, domains=None, domain_bytes=None, request_id=None,):
         self.ticket = ticket
         self.service_name = service_name
         self.part_ids = part_ids
@@ -4493,6 +4495,7 @@
         self.excluded = excluded
         self.domains = domains
         self.domain_bytes = domain_bytes
+        self.request_id = request_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4573,6 +4576,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4634,6 +4642,10 @@
                 oprot.writeI64(iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 10)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4656,6 +4668,8 @@
             raise TProtocolException(message='Required field domains is unset!')
         if self.domain_bytes is None:
             raise TProtocolException(message='Required field domain_bytes is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
         return
 
     def __repr__(self):
@@ -5156,6 +5170,7 @@
     (7, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.LIST, 'domains', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.LIST, 'domain_bytes', (TType.I64, None, False), None, ),  # 9
+    (10, TType.STRING, 'request_id', 'UTF8', None, ),  # 10
 )
 all_structs.append(EngineChoice)
 EngineChoice.thrift_spec = (
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -291,6 +291,7 @@
   7: required list<string> excluded, // servers that the sender may not use
   8: required list<string> domains,  // where stage results lie
   9: required list<i64> domain_bytes,
+  10: required string request_id,
 }
 
 // Without a server none can take the request.
--- a/egretshed/placement/engines.py
+++ b/egretshed/placement/engines.py
@@ -19,6 +19,7 @@
     EngineNote,
     EngineRequest,
 )
+from egretshed.logs import log_event
 from egretshed.membership.service_owner import ServiceOwners
 from egretshed.peers.network import (
     PeerNetwork,
@@ -46,6 +47,7 @@
 class EngineQuery(NamedTuple):
     """One request that needs an engine."""
 
+    request_id: str
     service: str
     parts: tuple[PromptPart, ...]
     slack_s: float
@@ -73,12 +75,14 @@
         owners: ServiceOwners,
         servers: ServerRegistry,
         configuration: Callable[[], ServingConfiguration | None],
+        list_version: Callable[[], int],
     ):
         self.env = env
         self.peers = peers
         self.owners = owners
         self.servers = servers
         self.configuration = configuration
+        self.list_version = list_version
         self._tickets = itertools.count(env.identity.incarnation)
         self._books: dict[str, EngineBook] = defaultdict(lambda: EngineBook(env))
         peers.handle(EngineRequest, self._on_request)
@@ -153,6 +157,7 @@
             query.bytes_by_domain,
         )
         chosen = choose_engine(needs, views)
+        self._log(key, query, chosen, views)
         if chosen is None:
             return None
         book.place(
@@ -164,9 +169,36 @@
         )
         return chosen.server_id
 
+    def _log(
+        self,
+        key: tuple,
+        query: EngineQuery,
+        chosen: EngineView | None,
+        views: list[EngineView],
+    ) -> None:
+        """Log one placement with the inputs that decided it."""
+        log_event(
+            self.env.logger,
+            "placement_decision",
+            request_id=query.request_id,
+            asked_by=key[0],
+            service=query.service,
+            server_id=chosen.server_id if chosen else None,
+            backlog_s=round(chosen.backlog_s, 3) if chosen else None,
+            reading_s=round(chosen.reading_s, 3) if chosen else None,
+            running=chosen.running if chosen else None,
+            slowness=round(chosen.slowness, 2) if chosen else None,
+            is_cold=chosen.is_cold if chosen else None,
+            candidates=len(views),
+            least_backlog_s=round(min((v.backlog_s for v in views), default=0.0), 3),
+            slack_s=round(query.slack_s, 3),
+            list_version=self.list_version(),
+        )
+
     async def _on_request(self, sender: Sender, message: EngineRequest) -> EngineChoice:
         pairs = zip(message.part_ids, message.part_tokens, strict=True)
         query = EngineQuery(
+            message.request_id,
             message.service_name,
             tuple(PromptPart(part_id, tokens) for part_id, tokens in pairs),
             message.slack_ms / 1000,
@@ -200,4 +232,5 @@
         sorted(query.excluded),
         list(query.bytes_by_domain),
         list(query.bytes_by_domain.values()),
+        query.request_id,
     )
--- a/egretshed/relay/placement.py
+++ b/egretshed/relay/placement.py
@@ -1,6 +1,7 @@
 """Gathers what is known of a service's servers and asks the placement decisions."""
 
 from egretshed.environment import Environment
+from egretshed.logs import log_event
 from egretshed.placement.engine_choice import engine_order
 from egretshed.placement.engines import (
     EnginePlacement,
@@ -37,7 +38,7 @@
         if not usable:
             return None
         if service.engine is None or work.request.prompt is None:
-            return self._plain(usable), None
+            return self._plain(work, usable), None
         return await self._engine(work, service, usable, bytes_by_domain)
 
     def home_domain(self, work: Work, service: Service) -> str:
@@ -63,7 +64,7 @@
             and self.servers.has_cold_share(server, rate_per_s)
         ]
 
-    def _plain(self, usable: list[ServerState]) -> ServerState:
+    def _plain(self, work: Work, usable: list[ServerState]) -> ServerState:
         now_s = self.env.clock.monotonic_s()
         by_id = {server.server_id: server for server in usable}
         candidates = [
@@ -79,7 +80,21 @@
             )
             for server in usable
         ]
-        return by_id[choose_plain(candidates, self.env.random).server_id]
+        chosen = choose_plain(candidates, self.env.random)
+        log_event(
+            self.env.logger,
+            "placement_decision",
+            request_id=work.request.request_id,
+            service=work.service,
+            server_id=chosen.server_id,
+            latency_s=round(chosen.latency_s, 4),
+            failure_share=round(chosen.failure_share, 3),
+            running_here=chosen.running_here,
+            observed_age_s=round(chosen.observed_age_s, 3),
+            report_age_s=round(chosen.report_age_s, 3),
+            candidates=len(candidates),
+        )
+        return by_id[chosen.server_id]
 
     async def _engine(
         self, work: Work, service: Service, usable, bytes_by_domain
@@ -88,6 +103,7 @@
         by_id = {server.server_id: server for server in usable}
         listed = self.servers.of_service(service.name)
         query = EngineQuery(
+            work.request.request_id,
             service.name,
             work.request.prompt.parts,
             work.target_at_s - now_s,
@@ -101,4 +117,13 @@
         if placement is not None:
             self.placer.note_end(placement)
         order = engine_order(work.request.prompt.affinity_key(), by_id)
+        log_event(
+            self.env.logger,
+            "placement_decision",
+            request_id=work.request.request_id,
+            service=service.name,
+            server_id=order[0],
+            candidates=len(usable),
+            reason="no_owner_answered",
+        )
         return by_id[order[0]], None
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -179,6 +179,7 @@
         queue = self._queues[job.service]
         expected_s = self._expected_s(job, pieces, queue, limits, now_s)
         if expected_s > job.deadline_s:
+            self._log_job(job, len(queue), expected_s, "refused")
             retry_after_s = max(RETRY_AFTER_MIN_S, expected_s - job.deadline_s)
             raise NotRun(
                 "stage queue is too long",
@@ -186,10 +187,31 @@
                 retry_after_s=round(retry_after_s, 3),
             )
         self._jobs[job.job_id] = _Running(job, {}, on_done)
+        self._log_job(job, len(queue), expected_s, "queued")
         queue += pieces
         self._pump(job.service)
         return expected_s
 
+    def _log_job(
+        self, job: StageJob, waiting: int, expected_s: float, outcome: str
+    ) -> None:
+        log_event(
+            self.env.logger,
+            "stage_job",
+            request_id=job.request_id,
+            asked_by=job.node_id,
+            service=job.service,
+            stage=job.stage,
+            pieces=len(job.segments),
+            waiting=waiting,
+            expected_s=round(expected_s, 3),
+            target_s=round(job.target_s, 3),
+            deadline_s=round(job.deadline_s, 3),
+            priority=job.priority,
+            preferred_domain=job.preferred_domain,
+            outcome=outcome,
+        )
+
     def _expected_s(self, job, pieces, queue, limits, now_s: float) -> float:
         views = self._views(job.service, limits)
         wait_s = expected_wait_s(queue, pieces[-1], views, limits, now_s)
@@ -339,6 +361,8 @@
         now_s = self.env.clock.monotonic_s()
         self._calls[server.server_id] -= 1
         self.ledger.release(server.server_id, size_bytes)
+        call = (batch, results)
+        self._log_call(service, server, call, began_s, expected_s, outcome)
         if outcome == CallOutcome.ANSWERED:
             server.note_answer(True, now_s)
             if all(result.handle for result in results):
@@ -352,8 +376,6 @@
         else:
             server.note_unreachable(now_s)
             self._requeue(service, batch, counts=outcome == CallOutcome.MAY_HAVE_RUN)
-        call = (batch, results)
-        self._log_call(service, server, call, began_s, expected_s, outcome)
         self._pump(service)
 
     async def _ask(
@@ -462,13 +484,15 @@
     def _log_call(self, service, server, call, began_s, expected_s, outcome) -> None:
         batch, results = call
         took_s = self.env.clock.monotonic_s() - began_s
+        jobs = {piece.ticket: self._jobs.get(piece.ticket) for piece in batch}
+        request_ids = [running.job.request_id for running in jobs.values() if running]
         log_event(
             self.env.logger,
             "stage_call",
             service=service,
             server_id=server.server_id,
             pieces=len(batch),
-            request_ids=sorted({piece.ticket[1] for piece in batch})[:4],
+            request_ids=request_ids,
             not_made=[result.reason for result in results if result.reason],
             waiting=len(self._queues[service]),
             waited_s=round(began_s - min(p.queued_s for p in batch), 3),
