--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -7,6 +7,7 @@
 from tornado.netutil import bind_sockets
 
 from egretshed.daemon.identity import make_environment
+from egretshed.errors import NotRun
 from egretshed.feeds.follower import TableFollower
 from egretshed.feeds.peer_copies import PeerCopies
 from egretshed.ingress.directory import Directory
@@ -60,6 +61,8 @@
 # A stopping node that is idle exits once callers have had time to learn of it.
 IDLE_EXIT_S = 3.2
 IDLE_POLL_S = 0.05
+# A node that starts is ready about this long after, if the store answers.
+START_S = 0.5
 
 
 class EntryNode:
@@ -197,10 +200,8 @@
 
     async def _handle(self, request, reply) -> None:
         if self.runner is None:
-            from egretshed.errors import NotRun
-
-            error = NotRun("starting", reason="starting", retry_after_s=0.5)
-            reply.start(*encode_refusal(error))
+            refusal = NotRun("starting", reason="starting", retry_after_s=START_S)
+            reply.start(*encode_refusal(refusal))
             return
         await self.runner.handle(request, reply)
 
