--- a/standins/users_platform/proxy.py
+++ b/standins/users_platform/proxy.py
@@ -15,8 +15,8 @@
     """Forwards to one port; each connection suffers what `harm` says now.
 
     `harm` is ``none``, ``delay``, ``reset`` (new and open connections), ``one_way``
-    (what the server answers is lost) or ``silent`` (open connections go silent for good,
-    new ones work).
+    (what the server answers is lost) or ``silent`` (open connections go silent for
+    good, new ones work).
     """
 
     def __init__(self, target_port: int, source: random.Random):
