Give duties to VMs that can carry them; read large changes from the store

Ruled out: frozen processes (they were paused only after the owners had gone silent). Change: weighted hashing by cores and link; changes over 24 KB are read from the store; copies between peers send only what changed.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -119,9 +119,9 @@
         self.peers = TcpPeerNetwork(env, lambda n: self.membership.resolve(n))
         self.membership = MembershipService(env, platform, self.peers)
         self.membership.version_source = lambda: self.in_force.version
-        followers = {f.table: f for f in (self.operators, self.listed)}
-        self.copies = PeerCopies(env, self.peers, self.membership, followers)
         owners = ServiceOwners(env, self.membership)
+        followers = {f.table: f for f in (self.operators, self.listed)}
+        self.copies = PeerCopies(env, self.peers, owners, followers)
         self.placer = EnginePlacer(
             env,
             self.peers,
--- a/egretshed/errors.py
+++ b/egretshed/errors.py
@@ -270,6 +270,12 @@
     code = "table_unavailable"
 
 
+class TooLargeForPeers(PlatformUnavailable):
+    """A node does not pass so much on to others; read it from the store."""
+
+    code = "too_large_for_peers"
+
+
 class HistoryLost(PlatformUnavailable):
     """The changes asked for are no longer kept; read the whole table again."""
 
--- a/egretshed/feeds/follower.py
+++ b/egretshed/feeds/follower.py
@@ -14,6 +14,7 @@
 from egretshed.errors import (
     HistoryLost,
     PlatformUnavailable,
+    TooLargeForPeers,
 )
 from egretshed.logs import log_event
 from egretshed.platform.interface import (
@@ -64,6 +65,7 @@
         self.is_connected = False
         self.confirmed_s: float | None = None
         self.regained_s: float | None = None
+        self.wants_store = False
         self._must_read_whole = True
         self._history: deque[StoredRow] = deque(maxlen=HISTORY_ROWS)
         self._history_from = 0
@@ -82,6 +84,10 @@
     def state(self) -> TableState:
         return TableState(self.version, tuple(self.rows.values()))
 
+    def version_or_none(self) -> int:
+        """Return the version, or -1 if nothing is known, so that all is asked for."""
+        return self.version if self.is_loaded else -1
+
     def changes_after(self, version: int) -> TableState:
         """Return what changed after a version, or the whole table if that is lost."""
         if version < self._history_from:
@@ -106,7 +112,11 @@
         """Take over a peer's newer state; return whether it was newer."""
         if state.version <= self.version and self.is_loaded:
             return False
-        self._apply_whole(TableChanges(state.rows, state.version), "peer")
+        changes = TableChanges(state.rows, state.version)
+        if state.is_whole:
+            self._apply_whole(changes, "peer")
+        elif self.is_loaded:
+            self._apply_changes(changes)
         return True
 
     async def run(self) -> None:
@@ -124,6 +134,8 @@
                 )
                 self._must_read_whole = True
                 self._note_lost("history_lost")
+            except TooLargeForPeers:
+                self.wants_store = True
             except PlatformUnavailable as error:
                 self._note_lost(str(error))
                 await self.env.clock.sleep(pause_s * self.env.random.uniform(0.7, 1.3))
--- a/egretshed/feeds/peer_copies.py
+++ b/egretshed/feeds/peer_copies.py
@@ -8,14 +8,13 @@
 
 import asyncio
 
-import xxhash
-
 from egretshed.environment import Environment
 from egretshed.errors import (
     HistoryLost,
     PeerRejected,
     PeerUnavailable,
     PlatformUnavailable,
+    TooLargeForPeers,
 )
 from egretshed.feeds.follower import (
     FEED_WAIT_S,
@@ -27,7 +26,7 @@
     TableRow,
     TableRows,
 )
-from egretshed.membership.service import MembershipService
+from egretshed.membership.service_owner import ServiceOwners
 from egretshed.peers.network import (
     PeerNetwork,
     Sender,
@@ -51,6 +50,9 @@
 PERIOD_S = 0.4
 CALL_TIMEOUT_S = 0.4
 LONG_AGO_MS = 1_000_000
+# Larger changes are read from the store: a node with a slow link could not pass them on
+# to a dozen others in time.
+PEER_LIMIT_BYTES = 24_000
 
 
 class PeerFeed:
@@ -61,7 +63,7 @@
         self.node_id = node_id
 
     async def read_table(self, table: str, part: str = "") -> TableChanges:
-        reply = await self._call(TableFetch(table, -1), PEER_SLACK_S)
+        reply = await self._call(TableFetch(table, -1, 0), PEER_SLACK_S)
         if not reply.is_whole:
             raise PlatformUnavailable(f"{self.node_id} has no whole table")
         return _changes(reply)
@@ -77,7 +79,11 @@
     async def _call(self, message: TableFetch, timeout_s: float) -> TableRows:
         try:
             reply = await self.peers.call(self.node_id, message, timeout_s)
-        except (PeerUnavailable, PeerRejected) as error:
+        except PeerRejected as error:
+            if error.fields.get("error") == TooLargeForPeers.code:
+                raise TooLargeForPeers(str(error)) from error
+            raise PlatformUnavailable(f"reader {self.node_id}: {error}") from error
+        except PeerUnavailable as error:
             raise PlatformUnavailable(f"reader {self.node_id}: {error}") from error
         if reply.age_ms > READER_AGE_LIMIT_S * 1000:
             raise PlatformUnavailable(f"reader {self.node_id} is behind the store")
@@ -91,12 +97,12 @@
         self,
         env: Environment,
         peers: PeerNetwork,
-        membership: MembershipService,
+        owners: ServiceOwners,
         followers: dict[str, TableFollower],
     ):
         self.env = env
         self.peers = peers
-        self.membership = membership
+        self.owners = owners
         self.followers = followers
         self._direct_until_s = 0.0
         peers.handle(TableFetch, self._answer)
@@ -104,8 +110,9 @@
     def source(self, follower: TableFollower, store: ChangeFeed) -> ChangeFeed:
         """Return where to read a table from now."""
         now_s = self.env.clock.monotonic_s()
-        if not follower.is_connected:
-            # The last source failed; the store tells the truth.
+        if not follower.is_connected or follower.wants_store:
+            # The last source failed or could not serve; the store tells the truth.
+            follower.wants_store = False
             self._direct_until_s = now_s + DIRECT_S
         own_id = self.env.identity.node_id
         readers = self._readers()
@@ -114,9 +121,7 @@
         return PeerFeed(self.peers, self.env.random.choice(readers))
 
     def _readers(self) -> list[str]:
-        ids = [m.node_id for m in self.membership.reachable() if not m.leaving]
-        ids.sort(key=lambda node_id: xxhash.xxh64_intdigest(f"read/{node_id}".encode()))
-        return ids[: self.env.settings.feeds.store_readers]
+        return self.owners.ranked("read")[: self.env.settings.feeds.store_readers]
 
     async def run(self) -> None:
         """Ask peers for tables that the store does not give, until cancelled."""
@@ -141,8 +146,8 @@
         except (PeerUnavailable, PeerRejected):
             # Another peer is asked the next time.
             return
-        if reply.is_whole and reply.version > follower.version:
-            follower.adopt(TableState(reply.version, _changes(reply).rows))
+        rows = _changes(reply).rows
+        follower.adopt(TableState(reply.version, rows, reply.is_whole))
 
     async def _answer(self, sender: Sender, message: TableFetch) -> TableRows:
         follower = self.followers.get(message.table)
@@ -151,6 +156,8 @@
         if message.wait_ms:
             await follower.wait_changed(message.version, message.wait_ms / 1000)
         state = follower.changes_after(message.version)
+        if message.wait_ms is not None and _size_bytes(state) > PEER_LIMIT_BYTES:
+            raise TooLargeForPeers(f"changes of {message.table} are large")
         rows = [
             TableRow(row.part, row.key, row.value, row.version) for row in state.rows
         ]
@@ -162,6 +169,10 @@
         )
 
 
+def _size_bytes(state: TableState) -> int:
+    return sum(len(row.value or b"") for row in state.rows)
+
+
 def _changes(reply: TableRows) -> TableChanges:
     rows = tuple(
         StoredRow(row.part, row.key, row.value, row.version) for row in reply.rows
--- a/egretshed/membership/registered_nodes.py
+++ b/egretshed/membership/registered_nodes.py
@@ -31,6 +31,8 @@
     http_port: int
     failure_domain: str
     region: str
+    cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class RegisteredNodes:
@@ -61,6 +63,8 @@
                     node.http_port,
                     node.failure_domain,
                     node.region,
+                    cores=node.cores,
+                    link_mbps=node.link_mbps,
                 )
             )
         return listed
@@ -68,6 +72,7 @@
     async def register(self) -> None:
         """Write this node's row; returns once it is confirmed."""
         identity = self.env.identity
+        settings = self.env.settings.node
         value = msgspec.json.encode(
             _NodeWire(
                 identity.host,
@@ -75,6 +80,8 @@
                 identity.http_port,
                 identity.failure_domain,
                 identity.region,
+                settings.cores * settings.core_share,
+                settings.link_mbps,
             )
         )
         while True:
--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -156,6 +156,9 @@
         """Return the entry nodes of the VM list as last read."""
         return list(self._vms.entries.values())
 
+    def listed_vm(self, node_id: str) -> ListedVm | None:
+        return self._vms.entries.get(node_id)
+
     def is_settled(self) -> bool:
         """Return False at start, after a pause, and when superseded."""
         return not self.is_superseded and self._pause.is_settled()
--- a/egretshed/membership/service_owner.py
+++ b/egretshed/membership/service_owner.py
@@ -1,21 +1,49 @@
 """Which node decides for a service: chosen by hashing over the nodes that are reached.
 
-A node that did not answer in time is passed over for a moment. Two nodes that see
-different members may both decide; that costs efficiency, never correctness.
+Load pattern: the VMs of a fleet differ in processor and link, and the duty of the whole
+service would choke a small one. The chance of a node to be chosen grows with the square
+of what it can carry. A node that did not answer in time is passed over for a moment.
+Two nodes that see different members may both decide; that costs efficiency, never
+correctness.
 """
 
+import math
+
 import xxhash
 
 from egretshed.environment import Environment
 from egretshed.logs import log_event
 from egretshed.membership.service import MembershipService
+from egretshed.platform.interface import ListedVm
 
 # An owner that did not answer is passed over this long.
 AVOID_S = 1.0
+# A VM with this much or more can carry any duty at today's sizes.
+ENOUGH_CORES = 1.0
+ENOUGH_LINK_MBPS = 100.0
+HASH_RANGE = 2.0**64
+
+
+def carrying_weight(vm: ListedVm | None) -> float:
+    """Return how much of a duty a VM can carry, from 0 to 1, squared."""
+    if vm is None:
+        return 1.0
+    share = min(vm.cores / ENOUGH_CORES, vm.link_mbps / ENOUGH_LINK_MBPS, 1.0)
+    return max(0.001, share) ** 2
+
+
+def rank_nodes(duty: str, weights: dict[str, float]) -> list[str]:
+    """Return the nodes by weighted rendezvous hashing, the first choice first."""
+
+    def score(node_id: str) -> float:
+        digest = xxhash.xxh64_intdigest(f"{duty}/{node_id}".encode())
+        return -weights[node_id] / math.log((digest + 0.5) / HASH_RANGE)
+
+    return sorted(weights, key=score, reverse=True)
 
 
 class ServiceOwners:
-    """Ranks the reachable nodes for each service by rendezvous hashing."""
+    """Ranks the reachable nodes for each duty."""
 
     def __init__(self, env: Environment, membership: MembershipService):
         self.env = env
@@ -23,19 +51,22 @@
         self._avoid_until_s: dict[str, float] = {}
 
     def ranked(self, duty: str) -> list[str]:
-        """Return the nodes that may decide on a duty, the first choice first."""
+        """Return the nodes that may take on a duty, the first choice first."""
         now_s = self.env.clock.monotonic_s()
-        own_id = self.env.identity.node_id
         usable = {
             member.node_id
             for member in self.membership.reachable()
             if not member.leaving
             and now_s >= self._avoid_until_s.get(member.node_id, 0.0)
         }
-        return sorted(
-            usable | {own_id},
-            key=lambda node_id: xxhash.xxh64_intdigest(f"{duty}/{node_id}".encode()),
-        )
+        usable.add(self.env.identity.node_id)
+        listed = self.membership.listed_vm
+        return rank_nodes(duty, {n: carrying_weight(listed(n)) for n in usable})
+
+    def others(self) -> list[str]:
+        """Return the other nodes that are reachable."""
+        own_id = self.env.identity.node_id
+        return [m.node_id for m in self.membership.reachable() if m.node_id != own_id]
 
     def candidates(self, duty: str, count: int) -> list[str]:
         """Return the first `count` nodes, and this node as the last resort."""
--- a/egretshed/membership/view.py
+++ b/egretshed/membership/view.py
@@ -1,5 +1,6 @@
 """This node's view of the fleet: merged reports, suspicions and deaths."""
 
+import logging
 import math
 from collections.abc import (
     Callable,
@@ -167,9 +168,12 @@
         elif member.status == MemberStatus.DEAD:
             self._dead_s[node_id] = now_s
         if before is None or before.status != member.status:
+            # Suspicions are many in a mass restart, and most are refuted.
+            is_doubt = member.status == MemberStatus.SUSPECT
             log_event(
                 self.env.logger,
                 "member_status",
+                level=logging.DEBUG if is_doubt else logging.INFO,
                 member=node_id,
                 incarnation=member.incarnation,
                 status=member.status.name,
--- a/egretshed/platform/interface.py
+++ b/egretshed/platform/interface.py
@@ -113,6 +113,8 @@
     failure_domain: str
     region: str
     leaving: bool = False
+    cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class VmList(Protocol):
--- a/egretshed/settings/schema.py
+++ b/egretshed/settings/schema.py
@@ -7,7 +7,10 @@
 
 
 class NodeSettings(NamedTuple):
-    """Who and where this VM is."""
+    """Who and where this VM is, and what it can carry.
+
+    `cores` have `core_share` of a processor each.
+    """
 
     node_id: str
     failure_domain: str
@@ -15,6 +18,9 @@
     host: str = "127.0.0.1"
     http_port: int = 0
     peer_port: int = 0
+    cores: float = 1.0
+    core_share: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class PlatformSettings(NamedTuple):
