Split the stage owner by duty; pass over slow stage servers

Cause: the module held queue, calls, freeing and jobs; a server that turned 5 times slower still got pieces while others were free. Change: jobs, calls and freeing stand apart; a slow server gets calls only if the others would take longer; what was learned of its speed fades.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=. $(BIN)/python
 
-.PHONY: install format lint test fuzz demo soak bench generate clean
+.PHONY: install format lint test fuzz demo soak soak-platform bench generate clean
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -36,6 +36,9 @@
 soak: install
 	$(RUN) -m bench.soak --seconds $(SECONDS) --seed $(SEED)
 
+soak-platform: install
+	$(RUN) -m bench.platform_soak --seed $(SEED) --seconds $(SECONDS)
+
 bench: install
 	$(RUN) -m bench.measure --seed $(SEED) --deployment $(DEPLOYMENT) \
 		--scenario $(SCENARIO)
--- /dev/null
+++ b/egretshed/membership/tests/owners.feature
@@ -0,0 +1,17 @@
+Feature: Duties go to VMs that can carry them
+
+  # Guards against a duty of the whole fleet on a VM with a slow link, and against duties
+  # that move when an unrelated node comes or goes.
+  Scenario Outline: 200 duties over <nodes>
+    Given nodes <nodes>
+    When 200 duties are ranked
+    Then "<small>" has between <least> and <most> of them
+    And without "<gone>" only its own duties move
+
+    # Nodes: name:cores:link in Mbit/s
+    Examples:
+      | nodes                               | small | least | most | gone |
+      | a:1:1000 b:1:1000 c:1:1000 d:1:1000 | a     | 30    | 70   | b    |
+      | a:2:5 b:2:100 c:2:100 d:2:100       | a     | 0     | 4    | b    |
+      | a:0.5:100 b:2:100 c:2:100 d:2:100   | a     | 5     | 30   | c    |
+      | a:0.5:5 b:0.5:5 c:0.5:5 d:0.5:5     | a     | 30    | 70   | d    |
--- a/egretshed/stagework/client.py
+++ b/egretshed/stagework/client.py
@@ -29,11 +29,11 @@
     Sender,
 )
 from egretshed.stagework.graph import StagePlan
-from egretshed.stagework.owner import (
+from egretshed.stagework.jobs import (
     StageJob,
     StageOutcome,
-    StageOwner,
 )
+from egretshed.stagework.owner import StageOwner
 
 # An owner that lives accepts within a few milliseconds; a frozen one does not.
 ACCEPT_TIMEOUT_S = 0.2
--- /dev/null
+++ b/egretshed/stagework/freeing.py
@@ -0,0 +1,64 @@
+"""Frees results at their makers, several in one call."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+
+from egretshed.environment import Environment
+from egretshed.logs import log_event
+from egretshed.platform.stage_calls import (
+    encode_stage_free,
+    handle_address,
+)
+from egretshed.upstream.exchange import ExchangeFailed
+from egretshed.upstream.pool import ConnectionPool
+
+FREE_TIMEOUT_S = 1.0
+# Results to free are collected this long, so that one call frees several.
+FREE_DELAY_S = 0.01
+MAX_ANSWER_BYTES = 65536
+
+
+class ResultFreer:
+    """Calls `on_freed` with the handles that a maker has confirmed to be free."""
+
+    def __init__(
+        self,
+        env: Environment,
+        pool: ConnectionPool,
+        on_freed: Callable[[list[str]], None],
+    ):
+        self.env = env
+        self.pool = pool
+        self.on_freed = on_freed
+        self._waiting: dict[str, list[str]] = defaultdict(list)
+        self._tasks: set[asyncio.Task] = set()
+
+    def free(self, handles: list[str]) -> None:
+        """Free results soon."""
+        for handle in handles:
+            address = handle_address(handle)
+            if not self._waiting[address]:
+                task = asyncio.create_task(self._free_at(address))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            self._waiting[address].append(handle)
+
+    async def _free_at(self, address: str) -> None:
+        await self.env.clock.sleep(FREE_DELAY_S)
+        handles = self._waiting.pop(address, [])
+        request = encode_stage_free(address, handles)
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_S):
+                await self.pool.fetch(address, request, MAX_ANSWER_BYTES, reuse=True)
+        except (ExchangeFailed, TimeoutError) as error:
+            # The results expire by themselves.
+            log_event(
+                self.env.logger,
+                "results_not_freed",
+                address=address,
+                results=len(handles),
+                error=str(error),
+            )
+            return
+        self.on_freed(handles)
--- /dev/null
+++ b/egretshed/stagework/jobs.py
@@ -0,0 +1,82 @@
+"""Jobs of the node that batches for a service, and how they end."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from egretshed.serving.schema import StageLimits
+from egretshed.stagework.queue import WaitingPiece
+
+# Time that a request needs after a stage's pieces have begun, its engine included.
+REST_OF_REQUEST_S = 2.2
+# Share of their time to live that results may wait for the stage that needs them.
+INPUT_TTL_SHARE = 0.4
+
+
+class StageJob(NamedTuple):
+    """The pieces of one stage of one request, as submitted by any node."""
+
+    node_id: str
+    ticket: int
+    request_id: str
+    service: str
+    stage: int
+    segments: tuple[int, ...]
+    piece_key: str
+    inputs: tuple[str, ...]
+    deadline_s: float
+    target_s: float
+    priority: int
+    preferred_domain: str
+    result_bytes: int
+    far_bytes: int
+
+    @property
+    def job_id(self) -> tuple[str, int]:
+        return self.node_id, self.ticket
+
+
+class StageOutcome(NamedTuple):
+    """Handles in the order of the job's segments, or the reason for having none."""
+
+    handles: tuple[str, ...] = ()
+    reason: str = ""
+
+
+@dataclass
+class RunningJob:
+    """A job that was accepted, with the handles of its finished pieces."""
+
+    job: StageJob
+    handles: dict[int, str]
+    on_done: Callable[[StageOutcome], None]
+
+
+def waiting_pieces(
+    job: StageJob, limits: StageLimits, now_s: float
+) -> list[WaitingPiece]:
+    """Return the pieces of a job that was submitted at `now_s`."""
+    result_bytes = min(job.result_bytes, limits.result_room_bytes)
+    return [
+        WaitingPiece(
+            ticket=job.job_id,
+            segment=segment,
+            queued_s=now_s,
+            deadline_at_s=now_s + job.deadline_s,
+            target_at_s=now_s + job.target_s,
+            must_start_s=now_s + _can_wait_s(job, limits),
+            priority=job.priority,
+            preferred_domain=job.preferred_domain,
+            far_bytes=job.far_bytes,
+            result_bytes=result_bytes,
+        )
+        for segment in job.segments
+    ]
+
+
+def _can_wait_s(job: StageJob, limits: StageLimits) -> float:
+    """Return how long a job may wait before its request or its inputs are lost."""
+    wait_s = job.deadline_s - REST_OF_REQUEST_S
+    if job.inputs:
+        wait_s = min(wait_s, INPUT_TTL_SHARE * limits.result_ttl_s)
+    return wait_s
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -10,23 +10,13 @@
     defaultdict,
 )
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
-from typing import NamedTuple
 
 from egretshed.environment import Environment
-from egretshed.errors import (
-    BackendError,
-    NotRun,
-)
+from egretshed.errors import NotRun
 from egretshed.logs import log_event
 from egretshed.platform.stage_calls import (
     StageItem,
     StageItemResult,
-    decode_stage_results,
-    encode_stage_call,
-    encode_stage_free,
-    handle_address,
 )
 from egretshed.retries.shared_budget import SharedRetryBudget
 from egretshed.servers.registry import ServerRegistry
@@ -35,6 +25,18 @@
     ServingConfiguration,
     StageLimits,
 )
+from egretshed.stagework.calls import (
+    CallOutcome,
+    Slowness,
+    call_stage_server,
+)
+from egretshed.stagework.freeing import ResultFreer
+from egretshed.stagework.jobs import (
+    RunningJob,
+    StageJob,
+    StageOutcome,
+    waiting_pieces,
+)
 from egretshed.stagework.ledger import ResultLedger
 from egretshed.stagework.queue import (
     StageServerView,
@@ -45,80 +47,21 @@
     free_servers,
     startable,
 )
-from egretshed.upstream.exchange import ExchangeFailed
 from egretshed.upstream.pool import ConnectionPool
 
 # A piece is produced again this often before its request is told that it failed.
 MAX_PIECE_FAILURES = 3
-# A call that takes this many times its expected time, and a moment, is given up.
-CALL_PATIENCE_FACTOR = 4.0
-CALL_PATIENCE_S = 0.6
 # A server that refused a call is asked again after this time.
 FULL_PAUSE_S = 0.08
 # Results that this owner does not know of are freed or expire meanwhile.
 UNKNOWN_RESULTS_S = 0.3
-SLOWNESS_SHARE = 0.3
 # Outcomes kept for submitters that did not get them.
 FINISHED_KEPT = 256
 # When a submitter that asked again should ask the next time.
 CONFIRMED_AGAIN_S = 0.4
-MAX_ANSWER_BYTES = 1024 * 1024
-# Time that a request needs after a stage's pieces have begun, its engine included.
-REST_OF_REQUEST_S = 2.2
-# Share of their time to live that results may wait for the stage that needs them.
-INPUT_TTL_SHARE = 0.4
-FREE_TIMEOUT_S = 1.0
-# Results to free are collected this long, so that one call frees several.
-FREE_DELAY_S = 0.01
 RETRY_AFTER_MIN_S = 0.2
 
 
-class StageJob(NamedTuple):
-    """The pieces of one stage of one request, as submitted by any node."""
-
-    node_id: str
-    ticket: int
-    request_id: str
-    service: str
-    stage: int
-    segments: tuple[int, ...]
-    piece_key: str
-    inputs: tuple[str, ...]
-    deadline_s: float
-    target_s: float
-    priority: int
-    preferred_domain: str
-    result_bytes: int
-    far_bytes: int
-
-    @property
-    def job_id(self) -> tuple[str, int]:
-        return self.node_id, self.ticket
-
-
-class CallOutcome(Enum):
-    """How a call to a stage server ended."""
-
-    ANSWERED = "answered"
-    FULL = "full"
-    NOT_RUN = "not_run"
-    MAY_HAVE_RUN = "may_have_run"
-
-
-class StageOutcome(NamedTuple):
-    """Handles in the order of the job's segments, or the reason for having none."""
-
-    handles: tuple[str, ...] = ()
-    reason: str = ""
-
-
-@dataclass
-class _Running:
-    job: StageJob
-    handles: dict[int, str]
-    on_done: Callable[[StageOutcome], None]
-
-
 class StageOwner:
     """Queues and calls of the services that this node batches for."""
 
@@ -136,14 +79,14 @@
         self.pool = pool
         self.budget = budget
         self.ledger = ResultLedger(env)
-        self._jobs: dict[tuple[str, int], _Running] = {}
+        self._jobs: dict[tuple[str, int], RunningJob] = {}
         self._queues: dict[str, list[WaitingPiece]] = defaultdict(list)
         self._calls: dict[str, int] = defaultdict(int)
-        self._slowness: dict[str, float] = {}
+        self._slowness = Slowness(env)
         self._pause_until_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._finished: OrderedDict[tuple[str, int], StageOutcome] = OrderedDict()
-        self._to_free: dict[str, list[str]] = defaultdict(list)
+        self._freer = ResultFreer(env, pool, self._on_freed)
 
     def submit(self, job: StageJob, on_done: Callable[[StageOutcome], None]) -> float:
         """Queue a job; return when its last piece is expected, in seconds.
@@ -161,21 +104,7 @@
             on_done(self._finished[job.job_id])
             return 0.0
         now_s = self.env.clock.monotonic_s()
-        pieces = [
-            WaitingPiece(
-                job.job_id,
-                segment,
-                now_s,
-                now_s + job.deadline_s,
-                now_s + job.target_s,
-                now_s + _can_wait_s(job, limits),
-                job.priority,
-                job.preferred_domain,
-                job.far_bytes,
-                min(job.result_bytes, limits.result_room_bytes),
-            )
-            for segment in job.segments
-        ]
+        pieces = waiting_pieces(job, limits, now_s)
         queue = self._queues[job.service]
         expected_s = self._expected_s(job, pieces, queue, limits, now_s)
         if expected_s > job.deadline_s:
@@ -186,7 +115,7 @@
                 reason="stage_overload",
                 retry_after_s=round(retry_after_s, 3),
             )
-        self._jobs[job.job_id] = _Running(job, {}, on_done)
+        self._jobs[job.job_id] = RunningJob(job, {}, on_done)
         self._log_job(job, len(queue), expected_s, "queued")
         queue += pieces
         self._pump(job.service)
@@ -229,36 +158,11 @@
         queue[:] = [piece for piece in queue if piece.ticket != job_id]
         self.free(list(running.handles.values()))
 
-    def cancel_of_node(self, node_id: str) -> None:
-        """Drop the jobs of a node that has gone."""
-        for job_id in [j for j in self._jobs if j[0] == node_id]:
-            self.cancel(job_id)
-
     def free(self, handles: list[str]) -> None:
         """Free results at their makers soon."""
-        for handle in handles:
-            address = handle_address(handle)
-            if not self._to_free[address]:
-                self._spawn(self._free_at(address))
-            self._to_free[address].append(handle)
-
-    async def _free_at(self, address: str) -> None:
-        await self.env.clock.sleep(FREE_DELAY_S)
-        handles = self._to_free.pop(address, [])
-        request = encode_stage_free(address, handles)
-        try:
-            async with asyncio.timeout(FREE_TIMEOUT_S):
-                await self.pool.fetch(address, request, MAX_ANSWER_BYTES, reuse=True)
-        except (ExchangeFailed, TimeoutError) as error:
-            # The results expire by themselves.
-            log_event(
-                self.env.logger,
-                "results_not_freed",
-                address=address,
-                results=len(handles),
-                error=str(error),
-            )
-            return
+        self._freer.free(handles)
+
+    def _on_freed(self, handles: list[str]) -> None:
         # The memory counts as taken until the maker has confirmed that it is free.
         for handle in handles:
             self.ledger.free(handle)
@@ -297,7 +201,7 @@
                 server.failure_domain,
                 self.ledger.room_bytes(server.server_id, limits.result_room_bytes),
                 self._calls[server.server_id],
-                self._slowness.get(server.server_id, 1.0),
+                self._slowness.of(server.server_id),
             )
             for server in self.servers.usable(service)
             if now_s >= self._pause_until_s.get(server.server_id, 0.0)
@@ -313,7 +217,7 @@
         domains = {view.failure_domain for view in views}
         now_s = self.env.clock.monotonic_s()
         single_s = call_time_s(limits, 1)
-        for view in free_servers(views, limits.slots):
+        for view in free_servers(views, limits, len(queue)):
             begun = self._begun(queue)
             ordered = startable(
                 queue, begun, self._views(service, limits), now_s, single_s
@@ -355,7 +259,7 @@
 
     async def _call(self, service, server, batch, limits, size_bytes: int) -> None:
         began_s = self.env.clock.monotonic_s()
-        slowness = self._slowness.get(server.server_id, 1.0)
+        slowness = self._slowness.of(server.server_id)
         expected_s = call_time_s(limits, len(batch), slowness)
         outcome, results = await self._ask(server, batch, expected_s)
         now_s = self.env.clock.monotonic_s()
@@ -366,9 +270,8 @@
         if outcome == CallOutcome.ANSWERED:
             server.note_answer(True, now_s)
             if all(result.handle for result in results):
-                self._note_slowness(
-                    server.server_id, limits, len(batch), now_s - began_s
-                )
+                declared_s = call_time_s(limits, len(batch))
+                self._slowness.note(server.server_id, declared_s, now_s - began_s)
             self._take_results(service, server, batch, results, limits)
         elif outcome == CallOutcome.FULL:
             self._pause_until_s[server.server_id] = now_s + FULL_PAUSE_S
@@ -381,31 +284,12 @@
     async def _ask(
         self, server: ServerState, batch: list[WaitingPiece], expected_s: float
     ) -> tuple[CallOutcome, list[StageItemResult]]:
-        """Return how a call ended, and a result a piece if it was answered."""
         now_s = self.env.clock.monotonic_s()
         items = [self._item(p, now_s) for p in batch if p.ticket in self._jobs]
         if len(items) < len(batch):
-            # The rest of the batch waits for its next turn.
+            # A job was dropped just now; the rest of the batch has its turn later.
             return CallOutcome.FULL, []
-        request = encode_stage_call(server.server_id, server.address, items)
-        try:
-            async with asyncio.timeout(
-                expected_s * CALL_PATIENCE_FACTOR + CALL_PATIENCE_S
-            ):
-                status, body = await self.pool.fetch(
-                    server.address, request, MAX_ANSWER_BYTES, reuse=True
-                )
-            if status in (429, 503):
-                return CallOutcome.FULL, []
-            if status != 200:
-                return CallOutcome.NOT_RUN, []
-            return CallOutcome.ANSWERED, decode_stage_results(body, len(batch))
-        except TimeoutError:
-            return CallOutcome.MAY_HAVE_RUN, []
-        except BackendError as error:
-            if error.may_have_run:
-                return CallOutcome.MAY_HAVE_RUN, []
-            return CallOutcome.NOT_RUN, []
+        return await call_stage_server(self.pool, server, items, expected_s)
 
     def _item(self, piece: WaitingPiece, now_s: float) -> StageItem:
         job = self._jobs[piece.ticket].job
@@ -449,7 +333,7 @@
             handles = tuple(running.handles[s] for s in running.job.segments)
             self._report(running, StageOutcome(handles))
 
-    def _report(self, running: _Running, outcome: StageOutcome) -> None:
+    def _report(self, running: RunningJob, outcome: StageOutcome) -> None:
         """Tell the submitter; it may ask again if the message is lost."""
         self._finished[running.job.job_id] = outcome
         while len(self._finished) > FINISHED_KEPT:
@@ -476,11 +360,6 @@
         self.cancel(job_id)
         self._report(running, StageOutcome((), reason))
 
-    def _note_slowness(self, server_id, limits, pieces: int, took_s: float) -> None:
-        observed = took_s / call_time_s(limits, pieces)
-        known = self._slowness.get(server_id, 1.0)
-        self._slowness[server_id] = known + SLOWNESS_SHARE * (observed - known)
-
     def _log_call(self, service, server, call, began_s, expected_s, outcome) -> None:
         batch, results = call
         took_s = self.env.clock.monotonic_s() - began_s
@@ -505,11 +384,3 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _can_wait_s(job: StageJob, limits: StageLimits) -> float:
-    """Return how long a job may wait before its request or its inputs are lost."""
-    wait_s = job.deadline_s - REST_OF_REQUEST_S
-    if job.inputs:
-        wait_s = min(wait_s, INPUT_TTL_SHARE * limits.result_ttl_s)
-    return wait_s
--- a/egretshed/stagework/queue.py
+++ b/egretshed/stagework/queue.py
@@ -22,6 +22,8 @@
 # A piece with less slack than this takes any server at once.
 DOMAIN_SLACK_S = 0.35
 
+# A server is slow beside another one if it takes this many times as long.
+SLOW_FACTOR = 1.6
 # A job of at most this size may pass a larger one that waits for memory.
 SMALL_JOB_BYTES = 200_000
 
@@ -164,12 +166,38 @@
     return piece.target_at_s - now_s - call_s < DOMAIN_SLACK_S
 
 
-def free_servers(views: Iterable[StageServerView], slots: int) -> list[StageServerView]:
-    """Return the servers with a free call slot, the fastest first."""
-    free = [view for view in views if view.running_calls < slots]
+def free_servers(
+    views: list[StageServerView], limits: StageLimits, waiting: int
+) -> list[StageServerView]:
+    """Return the servers that may get a call now, the fastest first.
+
+    A server that turned slow gets none while the others are done with all waiting
+    pieces before it would be done with one call.
+    """
+    free = [
+        view
+        for view in views
+        if view.running_calls < limits.slots and _is_worth(view, views, limits, waiting)
+    ]
     return sorted(free, key=lambda view: (view.running_calls, view.slowness))
 
 
+def _is_worth(
+    view: StageServerView,
+    views: list[StageServerView],
+    limits: StageLimits,
+    waiting: int,
+) -> bool:
+    faster = [v for v in views if v.slowness * SLOW_FACTOR < view.slowness]
+    if not faster:
+        return True
+    batch = min(waiting, limits.batch_items)
+    capacity = sum(limits.slots / v.slowness for v in faster)
+    rounds = -(-waiting // limits.batch_items) / capacity
+    others_s = (rounds + 0.5) * call_time_s(limits, batch)
+    return call_time_s(limits, batch, view.slowness) < others_s
+
+
 def expected_wait_s(
     pieces: Iterable[WaitingPiece],
     new: WaitingPiece,
--- a/egretshed/stagework/tests/queue.feature
+++ b/egretshed/stagework/tests/queue.feature
@@ -48,3 +48,18 @@
       | starts | ended |
       | on     | 40    |
       | off    | fewer |
+
+  # Guards against pieces on a server that turned slow while the others were free.
+  Scenario Outline: <waiting> pieces wait, servers have slowness <slowness>
+    Given stage servers that take 4 pieces a call, 150 ms a call, 32 ms a piece
+    When servers with slowness <slowness> are free and <waiting> pieces wait
+    Then calls go to <chosen>, in that order
+
+    Examples:
+      | slowness  | waiting | chosen  |
+      | 1 1 1     | 4       | 0 1 2   |
+      | 1.2 1 1.3 | 4       | 1 0 2   |
+      | 5 1 1     | 4       | 1 2     |
+      | 5 1 1     | 60      | 1 2 0   |
+      | 2 1       | 12      | 1 0     |
+      | 5         | 1       | 0       |
--- a/egretshed/stagework/tests/replay.py
+++ b/egretshed/stagework/tests/replay.py
@@ -82,7 +82,7 @@
         ]
 
     def pump(now_s: float) -> None:
-        for view in free_servers(views(), limits.slots):
+        for view in free_servers(views(), limits, len(queue)):
             index = int(view.server_id)
             begun = {p.ticket for p in queue if jobs[p.ticket].made}
             single_s = call_time_s(limits, 1)
--- a/egretshed/stagework/tests/steps/queue_steps.py
+++ b/egretshed/stagework/tests/steps/queue_steps.py
@@ -12,6 +12,7 @@
     WaitingPiece,
     call_time_s,
     choose_batch,
+    free_servers,
     startable,
 )
 from egretshed.stagework.tests.replay import (
@@ -116,3 +117,18 @@
         assert len(done) < len(arrivals), len(done)
     else:
         assert len(done) == int(ended), len(done)
+
+
+@when("servers with slowness {slowness} are free and {waiting:d} pieces wait")
+def slow_servers(context, slowness, waiting):
+    views = [
+        StageServerView(str(number), "x", 18 * MB, 0, float(text))
+        for number, text in enumerate(slowness.split())
+    ]
+    context.free = free_servers(views, context.limits, waiting)
+
+
+@then("calls go to {chosen}, in that order")
+def calls_go_to(context, chosen):
+    found = " ".join(view.server_id for view in context.free)
+    assert found == chosen, found
