--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -1,12 +1,9 @@
 """One entry node before the users' platform: its slices wired, started and stopped."""
 
-import asyncio
-from collections.abc import Coroutine
-from typing import Any
-
 from tornado.netutil import bind_sockets
 
 from egretshed.daemon.identity import make_environment
+from egretshed.daemon.tasks import NodeTasks
 from egretshed.errors import NotRun
 from egretshed.feeds.follower import TableFollower
 from egretshed.feeds.peer_copies import PeerCopies
@@ -82,7 +79,7 @@
         self.env = make_environment(
             self.settings, node.peer_port, caller_port, BoundedOutput(STDOUT)
         )
-        self._tasks: list[asyncio.Task] = []
+        self._tasks = NodeTasks(self.env)
         self._draining = False
         self.membership: MembershipService | None = None
         self._build_relay()
@@ -216,9 +213,9 @@
             addresses=self.settings.listeners._asdict(),
         )
         self._listen()
-        self._spawn("operators", self.operators.run())
-        self._spawn("servers", self.listed.run())
-        self._spawn("pool", self.pool.run())
+        self._tasks.spawn("operators", self.operators.run())
+        self._tasks.spawn("servers", self.listed.run())
+        self._tasks.spawn("pool", self.pool.run())
         key = await obtain_shared_key(env, self.store)
         current = self.settings.current
         self.settings.replace(
@@ -228,11 +225,11 @@
         self.peers.start(self._peer_sockets)
         await self.registered.register()
         await self.membership.start()
-        self._spawn("membership", self.membership.run())
-        self._spawn("copies", self.copies.run())
-        self._spawn("stages", self.owner.run())
-        self._spawn("placements", self.placer.run())
-        self._spawn("expiry", self._expire())
+        self._tasks.spawn("membership", self.membership.run())
+        self._tasks.spawn("copies", self.copies.run())
+        self._tasks.spawn("stages", self.owner.run())
+        self._tasks.spawn("placements", self.placer.run())
+        self._tasks.spawn("expiry", self._expire())
         log_event(
             env.logger,
             "node_started",
@@ -302,9 +299,7 @@
 
     async def close(self) -> None:
         """End all tasks and connections at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         if self.runner is not None:
             self.peers.stop()
         self.pool.close()
@@ -318,21 +313,6 @@
             self.env.logger, "settings_reloaded", bounds=settings.bounds._asdict()
         )
 
-    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(self._on_task_end)
-        self._tasks.append(task)
-
-    def _on_task_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        log_event(
-            self.env.logger,
-            "task_failed",
-            task=task.get_name(),
-            error=repr(task.exception()),
-        )
-
 
 def _bind(address: str) -> list:
     host, _, port = address.rpartition(":")
--- a/egretshed/daemon/node.py
+++ b/egretshed/daemon/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections.abc import Coroutine
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -25,6 +24,7 @@
 from egretshed.claims.service import ClaimService
 from egretshed.configuration.service import ConfigurationService
 from egretshed.daemon.identity import make_environment
+from egretshed.daemon.tasks import NodeTasks
 from egretshed.errors import (
     PlatformUnavailable,
     TableConflict,
@@ -63,7 +63,7 @@
         self.env = make_environment(
             settings, _port(self._peer_sockets), _port(self._http_sockets)
         )
-        self._tasks: list[asyncio.Task] = []
+        self._tasks = NodeTasks(self.env)
         self._draining = False
         self.superseded = asyncio.Event()
         self.responses = OpenResponses()
@@ -182,7 +182,7 @@
         self._build()
         self.peers.start(self._peer_sockets)
         await self.membership.start()
-        self._spawn("membership", self.membership.run())
+        self._tasks.spawn("membership", self.membership.run())
         await self.configuration.start()
         for name, slice_ in (
             ("configuration", self.configuration),
@@ -193,7 +193,7 @@
             ("runner", self.runner),
             ("plans", self.plans),
         ):
-            self._spawn(name, slice_.run())
+            self._tasks.spawn(name, slice_.run())
         http = self.env.settings.http
         self._server = HTTPServer(
             self._application(),
@@ -243,28 +243,11 @@
 
     async def close(self) -> None:
         """End all tasks and connections at once, without leaving gracefully."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         self._server.stop()
         await self._server.close_all_connections()
         self.peers.stop()
 
-    def _spawn(self, name: str, work: Coroutine) -> None:
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(self._on_task_end)
-        self._tasks.append(task)
-
-    def _on_task_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        log_event(
-            self.env.logger,
-            "task_failed",
-            task=task.get_name(),
-            error=repr(task.exception()),
-        )
-
 
 def _leave_s(membership: MembershipSettings) -> float:
     """Return how long a leaving node is still connected to.
--- a/egretshed/ingress/directory.py
+++ b/egretshed/ingress/directory.py
@@ -2,20 +2,22 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from egretshed.environment import Environment
 from egretshed.ingress.server import (
     IncomingRequest,
     Reply,
 )
 from egretshed.membership.service import MembershipService
+from egretshed.platform.directory import (
+    JSON_HEADERS,
+    encode_addresses,
+    is_resolve,
+)
 
 MAX_ADDRESSES = 64
 # Callers learn of a node that leaves or died after this time; some keep an answer three
 # times as long.
 ADDRESS_KEEP_S = 1.0
-JSON_HEADERS = [("Content-Type", "application/json")]
 METRICS_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
 
 
@@ -34,9 +36,8 @@
 
     async def resolve(self, request: IncomingRequest, reply: Reply) -> None:
         """Answer with the addresses of nodes that live and serve."""
-        path = request.target.partition("?")[0]
         membership = self.membership()
-        if path != "/resolve":
+        if not is_resolve(request.target):
             reply.start(404, JSON_HEADERS, b"{}")
             return
         addresses = membership.addresses(MAX_ADDRESSES) if membership else []
@@ -44,11 +45,8 @@
             reply.start(503, JSON_HEADERS, b"{}")
             return
         keep_s = min(ADDRESS_KEEP_S, self.env.settings.bounds.address_keep_limit_s)
-        body = {
-            "addresses": [f"{a.host}:{a.http_port}" for a in addresses],
-            "ttl_s": keep_s,
-        }
-        reply.start(200, JSON_HEADERS, msgspec.json.encode(body))
+        names = [f"{a.host}:{a.http_port}" for a in addresses]
+        reply.start(200, JSON_HEADERS, encode_addresses(names, keep_s))
 
     async def readiness(self, request: IncomingRequest, reply: Reply) -> None:
         reply.start(200 if self.is_ready() else 503, JSON_HEADERS, b"{}")
--- a/egretshed/placement/tests/steps/placement_steps.py
+++ b/egretshed/placement/tests/steps/placement_steps.py
@@ -13,10 +13,8 @@
     PlacementNeeds,
     choose_engine,
 )
-from egretshed.placement.plain_choice import (
-    PlainCandidate,
-    choose_plain,
-)
+from egretshed.placement.plain_choice import choose_plain
+from egretshed.relay.placement import plain_candidate
 from egretshed.relay.request import PromptPart
 from egretshed.servers.records import (
     ListedServer,
@@ -133,19 +131,7 @@
     chosen_ids = []
     for _ in range(count):
         now_s = context.clock.monotonic_s()
-        candidates = [
-            PlainCandidate(
-                server.server_id,
-                server.latency_s,
-                now_s - server.observed_at_s,
-                server.failure_share,
-                server.listed.slots,
-                0,
-                0,
-                0.0,
-            )
-            for server in context.servers
-        ]
+        candidates = [plain_candidate(server, now_s) for server in context.servers]
         chosen = choose_plain(candidates, context.source).server_id
         server = next(s for s in context.servers if s.server_id == chosen)
         is_troubled = chosen == "s0"
--- a/egretshed/platform/stage_calls.py
+++ b/egretshed/platform/stage_calls.py
@@ -6,8 +6,15 @@
 
 from egretshed.errors import BackendRejected
 from egretshed.platform.headers import HEADERS
+from egretshed.stagework.jobs import PieceFailure
 from egretshed.upstream.exchange import OutgoingRequest
 
+FAILURES = {
+    "late": PieceFailure.TOO_LATE,
+    "gone": PieceFailure.INPUT_GONE,
+    "room": PieceFailure.NO_MEMORY,
+    "error": PieceFailure.FAILED,
+}
 JSON_HEADER = ("Content-Type", "application/json")
 
 
@@ -23,10 +30,10 @@
 
 
 class StageItemResult(NamedTuple):
-    """`handle` names the result; without one, `reason` says why there is none."""
+    """`handle` names the result; without one, `failure` says why there is none."""
 
     handle: str = ""
-    reason: str = ""
+    failure: PieceFailure | None = None
 
 
 class _ResultWire(msgspec.Struct):
@@ -54,7 +61,7 @@
         raise BackendRejected(f"stage answer: {error}") from error
     if len(wire.entries) != count:
         raise BackendRejected(f"{len(wire.entries)} results for {count} pieces")
-    return [StageItemResult(entry.handle, entry.reason) for entry in wire.entries]
+    return [_result(entry) for entry in wire.entries]
 
 
 def encode_stage_free(address: str, handles: list[str]) -> OutgoingRequest:
@@ -67,6 +74,12 @@
     return handle.partition("/")[0]
 
 
+def _result(wire: _ResultWire) -> StageItemResult:
+    if wire.handle:
+        return StageItemResult(wire.handle)
+    return StageItemResult("", FAILURES.get(wire.reason, PieceFailure.FAILED))
+
+
 def _item(item: StageItem) -> dict:
     entry = {
         "id": item.request_id,
--- a/egretshed/platform/tests/adapter.feature
+++ b/egretshed/platform/tests/adapter.feature
@@ -67,7 +67,7 @@
 
     Examples:
       | body                                                      | result      |
-      | {"entries":[{"handle":"a/1"},{"reason":"gone"}]}          | a/1 gone    |
+      | {"entries":[{"handle":"a/1"},{"reason":"gone"}]}          | a/1 input_gone |
       | {"entries":[{"handle":"a/1"}]}                            | rejected    |
       | {"entries":[{"handle":5},{"reason":"gone"}]}              | rejected    |
       | {"entries":                                               | rejected    |
--- a/egretshed/platform/tests/steps/adapter_steps.py
+++ b/egretshed/platform/tests/steps/adapter_steps.py
@@ -89,7 +89,7 @@
 def stage_results(context, body):
     try:
         results = decode_stage_results(body.encode(), 2)
-        context.results = " ".join(r.handle or r.reason for r in results)
+        context.results = " ".join(r.handle or r.failure.value for r in results)
     except BackendRejected:
         context.results = "rejected"
 
--- a/egretshed/relay/placement.py
+++ b/egretshed/relay/placement.py
@@ -67,19 +67,7 @@
     def _plain(self, work: Work, usable: list[ServerState]) -> ServerState:
         now_s = self.env.clock.monotonic_s()
         by_id = {server.server_id: server for server in usable}
-        candidates = [
-            PlainCandidate(
-                server.server_id,
-                server.latency_s,
-                now_s - server.observed_at_s,
-                server.failure_share,
-                server.listed.slots,
-                server.running,
-                sum(server.reported_load[:2]) if server.reported_load else 0,
-                now_s - server.reported_at_s,
-            )
-            for server in usable
-        ]
+        candidates = [plain_candidate(server, now_s) for server in usable]
         chosen = choose_plain(candidates, self.env.random)
         log_event(
             self.env.logger,
@@ -127,3 +115,17 @@
             reason="no_owner_answered",
         )
         return by_id[order[0]], None
+
+
+def plain_candidate(server: ServerState, now_s: float) -> PlainCandidate:
+    """Return what the choice of a plain replica needs to know of a server."""
+    return PlainCandidate(
+        server_id=server.server_id,
+        latency_s=server.latency_s,
+        observed_age_s=now_s - server.observed_at_s,
+        failure_share=server.failure_share,
+        slots=server.listed.slots,
+        running_here=server.running,
+        reported_busy=sum(server.reported_load[:2]) if server.reported_load else 0,
+        report_age_s=now_s - server.reported_at_s,
+    )
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -42,12 +42,13 @@
     choose_service,
 )
 from egretshed.serving.schema import Service
+from egretshed.stagework.jobs import PieceFailure
 
 # When to come back after a refusal whose cause does not say.
 RETRY_AFTER_S = 0.3
 NOT_READY_RETRY_S = 0.5
 # Results that expired, or whose maker has gone, can be produced again.
-LOST_RESULT_REASONS = frozenset({"gone", "results_gone"})
+LOST_RESULT_REASONS = frozenset({PieceFailure.INPUT_GONE.value, "results_gone"})
 # Less time than this does not suffice to run the stages once more.
 LEAST_STAGES_S = 1.0
 
--- a/egretshed/stagework/client.py
+++ b/egretshed/stagework/client.py
@@ -30,6 +30,7 @@
 )
 from egretshed.stagework.graph import StagePlan
 from egretshed.stagework.jobs import (
+    PieceFailure,
     StageJob,
     StageOutcome,
 )
@@ -107,10 +108,10 @@
             except (PeerUnavailable, PeerRejected) as error:
                 self.owners.avoid(node_id, duty, str(error))
                 continue
-            if outcome.reason:
+            if outcome.failure is not None:
                 raise StageFailed(
                     f"stage {plan.index} failed",
-                    reason=outcome.reason,
+                    reason=outcome.failure.value,
                     stage=plan.index,
                 )
             return outcome.handles
@@ -214,7 +215,8 @@
         )
 
         def report(outcome: StageOutcome) -> None:
-            done = StageDone(job.ticket, list(outcome.handles), outcome.reason)
+            reason = outcome.failure.value if outcome.failure else ""
+            done = StageDone(job.ticket, list(outcome.handles), reason)
             self.peers.send(sender.node_id, done)
 
         try:
@@ -227,7 +229,8 @@
     async def _on_done(self, sender: Sender, message: StageDone) -> None:
         waiting = self._waiting.get(message.ticket)
         if waiting is not None and not waiting.done():
-            waiting.set_result(StageOutcome(tuple(message.handles), message.reason))
+            failure = PieceFailure(message.reason) if message.reason else None
+            waiting.set_result(StageOutcome(tuple(message.handles), failure))
 
     async def _on_cancel(self, sender: Sender, message: StageCancel) -> None:
         self.owner.cancel((sender.node_id, message.ticket))
--- a/egretshed/stagework/jobs.py
+++ b/egretshed/stagework/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import NamedTuple
 
 from egretshed.serving.schema import StageLimits
@@ -13,6 +14,15 @@
 INPUT_TTL_SHARE = 0.4
 
 
+class PieceFailure(Enum):
+    """Why a piece, or the job that it belongs to, was not made."""
+
+    TOO_LATE = "too_late"
+    INPUT_GONE = "input_gone"
+    NO_MEMORY = "no_memory"
+    FAILED = "failed"
+
+
 class StageJob(NamedTuple):
     """The pieces of one stage of one request, as submitted by any node."""
 
@@ -37,10 +47,10 @@
 
 
 class StageOutcome(NamedTuple):
-    """Handles in the order of the job's segments, or the reason for having none."""
+    """Handles in the order of the job's segments, or why there are none."""
 
     handles: tuple[str, ...] = ()
-    reason: str = ""
+    failure: PieceFailure | None = None
 
 
 @dataclass
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -32,6 +32,7 @@
 )
 from egretshed.stagework.freeing import ResultFreer
 from egretshed.stagework.jobs import (
+    PieceFailure,
     RunningJob,
     StageJob,
     StageOutcome,
@@ -186,7 +187,7 @@
         now_s = self.env.clock.monotonic_s()
         for piece in list(self._queues[service]):
             if piece.deadline_at_s <= now_s:
-                self._fail(piece.ticket, "late")
+                self._fail(piece.ticket, PieceFailure.TOO_LATE)
 
     def _limits(self, service: str) -> StageLimits | None:
         configuration = self.configuration()
@@ -312,13 +313,13 @@
                     limits.result_ttl_s,
                 )
                 self._finish_piece(piece, result.handle)
-            elif result.reason in ("late", "gone"):
-                self._fail(piece.ticket, result.reason)
-            elif result.reason == "room":
+            elif result.failure in (PieceFailure.TOO_LATE, PieceFailure.INPUT_GONE):
+                self._fail(piece.ticket, result.failure)
+            elif result.failure is PieceFailure.NO_MEMORY:
                 self._requeue(service, [piece], counts=False)
             else:
                 self._requeue(service, [piece], counts=True)
-        if any(result.reason == "room" for result in results):
+        if any(result.failure is PieceFailure.NO_MEMORY for result in results):
             limit_bytes = limits.result_room_bytes
             self.ledger.note_full(server.server_id, limit_bytes, UNKNOWN_RESULTS_S)
 
@@ -351,14 +352,14 @@
             if allowed:
                 self._queues[service].append(piece._replace(failures=failures))
             else:
-                self._fail(piece.ticket, "error")
+                self._fail(piece.ticket, PieceFailure.FAILED)
 
-    def _fail(self, job_id: tuple[str, int], reason: str) -> None:
+    def _fail(self, job_id: tuple[str, int], failure: PieceFailure) -> None:
         running = self._jobs.get(job_id)
         if running is None:
             return
         self.cancel(job_id)
-        self._report(running, StageOutcome((), reason))
+        self._report(running, StageOutcome((), failure))
 
     def _log_call(self, service, server, call, began_s, expected_s, outcome) -> None:
         batch, results = call
@@ -372,7 +373,7 @@
             server_id=server.server_id,
             pieces=len(batch),
             request_ids=request_ids,
-            not_made=[result.reason for result in results if result.reason],
+            not_made=[result.failure.value for result in results if result.failure],
             waiting=len(self._queues[service]),
             waited_s=round(began_s - min(p.queued_s for p in batch), 3),
             expected_s=round(expected_s, 3),
