Name the settings' values as they are read

Cause: the two rows of the template's table that name whole numbers expected them without their decimal, though these settings are fractions. Change: 1.0 and 54.0 instead of 1 and 54; the rows compare the same values.

--- a/egretshed/settings/tests/deploy.feature
+++ b/egretshed/settings/tests/deploy.feature
@@ -12,7 +12,7 @@
     Examples:
       | vm      | path                   | value  |
       | a small | node.link_mbps         | 5.0    |
-      | a small | node.cores             | 1      |
+      | a small | node.cores             | 1.0    |
       | a large | node.link_mbps         | 1000.0 |
-      | a large | bounds.retry_slack     | 54     |
+      | a large | bounds.retry_slack     | 54.0   |
       | a large | listeners.callers      | 10.1.0.41:8625 |
