Notice the store's return soon after it was silent

The store had been silent for 8 s; a feed call that was sent just before its return waited 3 s for nothing, then a pause. Ruled out: readers (the node read the store itself while it was disconnected). Change: calls are short until one is answered; the pause is at most 0.6 s.

--- a/egretshed/feeds/follower.py
+++ b/egretshed/feeds/follower.py
@@ -29,7 +29,7 @@
 # Changed rows kept for peers that follow this node.
 HISTORY_ROWS = 1000
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
+RETRY_MAX_S = 0.6
 RETRY_FACTOR = 1.7
 
 
@@ -151,7 +151,10 @@
             self._must_read_whole = False
             return
         asked_for = self.version
-        changes = await self.feed().changes(self.table, asked_for, FEED_WAIT_S)
+        # A call to a silent store lasts as long as it may wait; until one is answered
+        # they are short, so that the store's return is noticed soon.
+        wait_s = FEED_WAIT_S if self.is_connected else 0.0
+        changes = await self.feed().changes(self.table, asked_for, wait_s)
         self._note_regained(changes.regained_age_s)
         self._apply_changes(changes)
 
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -15,6 +15,7 @@
       | changed while history is lost  | history is lost and c=3 is written           | 0.2   | a=1 b=2 c=3 |
       | removed while history is lost  | history is lost and a is removed             | 0.2   | b=2       |
       | changed while the store is away | the store is away for 3 s and a=7 is written | 5     | a=7 b=2   |
+      | changed while the store is silent | the store is silent for 8 s and a=9 is written | 9.4 | a=9 b=2   |
       | the feed is silent             | the feed is silent and a=8 is written        | 4     | a=8 b=2   |
 
   # Guards against a node that the store does not serve and that never learns of changes.
--- a/egretshed/feeds/tests/steps/follower_steps.py
+++ b/egretshed/feeds/tests/steps/follower_steps.py
@@ -19,6 +19,7 @@
     StoredRow,
     TableChanges,
 )
+from egretshed.platform.store import FEED_SLACK_S
 from standins.clock import ManualClock
 from standins.environments import make_environment
 
@@ -34,6 +35,7 @@
         self.oldest = 0
         self.away_until_s = 0.0
         self.is_silent = False
+        self.silent_until_s = 0.0
 
     def write(self, key, value):
         self.version += 1
@@ -60,20 +62,22 @@
         if after < self.oldest:
             raise HistoryLost("lost")
         end_s = self.clock.monotonic_s() + wait_s
+        if self.clock.monotonic_s() < self.silent_until_s:
+            await self.clock.sleep(wait_s + FEED_SLACK_S)
+            raise PlatformUnavailable("no answer in time")
         if self.is_silent:
             # Like a connection that went silent: the client's own limit ends the wait.
             self.is_silent = False
             await self.clock.sleep(wait_s)
             raise PlatformUnavailable("no answer in time")
-        while self.clock.monotonic_s() < end_s:
+        while True:
             self._check()
             if after < self.oldest:
                 raise HistoryLost("lost")
             found = tuple(row for row in self.history if row.version > after)
-            if found:
+            if found or self.clock.monotonic_s() >= end_s:
                 return TableChanges(found, self.version)
             await self.clock.sleep(0.01)
-        return TableChanges((), self.version)
 
 
 @given("a store table with rows a=1 b=2 that is followed")
@@ -118,6 +122,11 @@
                 feed.lose_history()
             elif event == "the store is away for 3 s":
                 feed.away_until_s = context.clock.monotonic_s() + 3
+            elif event == "the store is silent for 8 s":
+                feed.silent_until_s = context.clock.monotonic_s() + 8
+                # The call that waits now is answered; the next ones are not.
+                feed.write("b", b"2")
+                await context.clock.advance(0.02)
             elif event == "the feed is silent":
                 feed.is_silent = True
                 # The call that waits now still answers; the next one is silent.
