Make large results where their engine will be

Ruled out: weighing transfers more in the choice of the engine (a part read again costs four times as much as the results of one request moved). Change: the node that places prompts is asked, without a booking, where the prompt would go now; pieces go there, and a server prefers the pieces of its own domain to those that only gave up waiting for theirs.

--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -4378,6 +4378,7 @@
      - key
      - value
      - version
+     - is_compressed
 
     """
 
@@ -4386,14 +4387,16 @@
         'key',
         'value',
         'version',
+        'is_compressed',
     )
 
 
-    def __init__(self, part=None, key=None, value=None, version=None,):
+    def __init__(self, part=None, key=None, value=None, version=None, is_compressed=None,):
         self.part = part
         self.key = key
         self.value = value
         self.version = version
+        self.is_compressed = is_compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4424,6 +4427,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4450,6 +4458,10 @@
             oprot.writeFieldBegin('version', TType.I64, 4)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.is_compressed is not None:
+            oprot.writeFieldBegin('is_compressed', TType.BOOL, 5)
+            oprot.writeBool(self.is_compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4629,6 +4641,7 @@
      - domains
      - domain_bytes
      - request_id
+     - only_asks
 
     """
 
@@ -4643,10 +4656,11 @@
         'domains',
         'domain_bytes',
         'request_id',
+        'only_asks',
     )
 
 
-    def __init__(self, ticket=None, service_name=None, part_ids=None, part_tokens=None, slack_ms=None, deadline_ms=None, excluded=None, domains=None, domain_bytes=None, request_id=None,):
+    def __init__(self, ticket=None, service_name=None, part_ids=None, part_tokens=None, slack_ms=None, deadline_ms=None, excluded=None, domains=None, domain_bytes=None, request_id=None, only_asks=None,):
         self.ticket = ticket
         self.service_name = service_name
         self.part_ids = part_ids
@@ -4657,6 +4671,7 @@
         self.domains = domains
         self.domain_bytes = domain_bytes
         self.request_id = request_id
+        self.only_asks = only_asks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4742,6 +4757,11 @@
                     self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.only_asks = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4807,6 +4827,10 @@
             oprot.writeFieldBegin('request_id', TType.STRING, 10)
             oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
+        if self.only_asks is not None:
+            oprot.writeFieldBegin('only_asks', TType.BOOL, 11)
+            oprot.writeBool(self.only_asks)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5320,6 +5344,7 @@
     (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
     (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.BOOL, 'is_compressed', None, None, ),  # 5
 )
 all_structs.append(TableRows)
 TableRows.thrift_spec = (
@@ -5343,6 +5368,7 @@
     (8, TType.LIST, 'domains', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.LIST, 'domain_bytes', (TType.I64, None, False), None, ),  # 9
     (10, TType.STRING, 'request_id', 'UTF8', None, ),  # 10
+    (11, TType.BOOL, 'only_asks', None, None, ),  # 11
 )
 all_structs.append(EngineChoice)
 EngineChoice.thrift_spec = (
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -279,6 +279,7 @@
   2: required string key,
   3: optional binary value,   // absent for a row that was removed
   4: required i64 version,
+  5: optional bool is_compressed, // the value, by zlib
 }
 
 // `is_whole` tells that rows that are not named do not exist. `age_ms` is how long ago
@@ -303,6 +304,7 @@
   8: required list<string> domains,  // where stage results lie
   9: required list<i64> domain_bytes,
   10: required string request_id,
+  11: optional bool only_asks,       // the prompt comes later; nothing is booked
 }
 
 // Without a server none can take the request.
--- a/egretshed/placement/engines.py
+++ b/egretshed/placement/engines.py
@@ -45,7 +45,10 @@
 
 
 class EngineQuery(NamedTuple):
-    """One request that needs an engine."""
+    """One request that needs an engine.
+
+    With `only_asks` its prompt comes later, and nothing is booked.
+    """
 
     request_id: str
     service: str
@@ -54,6 +57,7 @@
     deadline_s: float
     excluded: frozenset[str]
     bytes_by_domain: dict[str, int]
+    only_asks: bool = False
 
 
 class EnginePlacement(NamedTuple):
@@ -157,6 +161,8 @@
             query.bytes_by_domain,
         )
         chosen = choose_engine(needs, views)
+        if query.only_asks:
+            return chosen.server_id if chosen else None
         self._log(key, query, chosen, views)
         if chosen is None:
             return None
@@ -205,6 +211,7 @@
             message.deadline_ms / 1000,
             frozenset(message.excluded),
             dict(zip(message.domains, message.domain_bytes, strict=True)),
+            bool(message.only_asks),
         )
         return EngineChoice(self._decide((sender.node_id, message.ticket), query))
 
@@ -233,4 +240,5 @@
         list(query.bytes_by_domain),
         list(query.bytes_by_domain.values()),
         query.request_id,
+        query.only_asks,
     )
--- a/egretshed/relay/placement.py
+++ b/egretshed/relay/placement.py
@@ -41,14 +41,23 @@
             return self._plain(work, usable), None
         return await self._engine(work, service, usable, bytes_by_domain)
 
-    def home_domain(self, work: Work, service: Service) -> str:
-        """Return the failure domain of the engine that a prompt prefers, or ""."""
+    async def expected_domain(self, work: Work, service: Service) -> str:
+        """Return the failure domain of the engine that a prompt would go to now, or "".
+
+        Large results are best made there: an engine that keeps a shared part of the
+        prompt saves more than results that lie near another one.
+        """
         prompt = work.request.prompt
-        if prompt is None:
+        usable = self.usable(work, service, set()) if prompt is not None else []
+        if not usable:
             return ""
-        usable = {s.server_id: s for s in self.usable(work, service, set())}
-        order = engine_order(prompt.affinity_key(), usable)
-        return usable[order[0]].failure_domain if order else ""
+        by_id = {server.server_id: server for server in usable}
+        query = self._query(work, service, by_id, {})._replace(only_asks=True)
+        placement = await self.placer.place(query)
+        if placement is not None and placement.server_id in by_id:
+            return by_id[placement.server_id].failure_domain
+        order = engine_order(prompt.affinity_key(), by_id)
+        return by_id[order[0]].failure_domain
 
     def usable(self, work: Work, service: Service, tried) -> list[ServerState]:
         """Return the servers that this node may send the request to now."""
@@ -87,18 +96,8 @@
     async def _engine(
         self, work: Work, service: Service, usable, bytes_by_domain
     ) -> tuple[ServerState, EnginePlacement | None]:
-        now_s = self.env.clock.monotonic_s()
         by_id = {server.server_id: server for server in usable}
-        listed = self.servers.of_service(service.name)
-        query = EngineQuery(
-            work.request.request_id,
-            service.name,
-            work.request.prompt.parts,
-            work.target_at_s - now_s,
-            work.remaining_s(now_s),
-            frozenset(s.server_id for s in listed if s.server_id not in by_id),
-            bytes_by_domain,
-        )
+        query = self._query(work, service, by_id, bytes_by_domain)
         placement = await self.placer.place(query)
         if placement is not None and placement.server_id in by_id:
             return by_id[placement.server_id], placement
@@ -116,6 +115,25 @@
         )
         return by_id[order[0]], None
 
+    def _query(
+        self,
+        work: Work,
+        service: Service,
+        by_id: dict[str, ServerState],
+        bytes_by_domain: dict[str, int],
+    ) -> EngineQuery:
+        now_s = self.env.clock.monotonic_s()
+        listed = self.servers.of_service(service.name)
+        return EngineQuery(
+            work.request.request_id,
+            service.name,
+            work.request.prompt.parts,
+            work.target_at_s - now_s,
+            work.remaining_s(now_s),
+            frozenset(s.server_id for s in listed if s.server_id not in by_id),
+            bytes_by_domain,
+        )
+
 
 def plain_candidate(server: ServerState, now_s: float) -> PlainCandidate:
     """Return what the choice of a plain replica needs to know of a server."""
--- a/egretshed/relay/stages.py
+++ b/egretshed/relay/stages.py
@@ -24,7 +24,10 @@
     sink_results,
     stages_to_await,
 )
-from egretshed.stagework.queue import call_time_s
+from egretshed.stagework.queue import (
+    LARGE_TRANSFER_BYTES,
+    call_time_s,
+)
 
 # Time that a request keeps for its model engine when its stages are planned, and the
 # speed at which the engine is expected to read the prompt, with parts of it kept.
@@ -63,8 +66,7 @@
             piece_key=work.request.piece_key,
             priority=work.priority,
         )
-        home = self.placement.home_domain(work, service)
-        await _GraphRun(self, work, context, plans, home).run()
+        await _GraphRun(self, work, context, plans, service).run()
 
     def free(self, work: Work, service: str, handles: tuple[str, ...]) -> None:
         """Free some results that the request holds."""
@@ -118,13 +120,13 @@
         work: Work,
         context: StageContext,
         plans: list[StagePlan],
-        home_domain: str,
+        service: Service,
     ):
         self.runner = runner
         self.work = work
         self.context = context
         self.plans = plans
-        self.home_domain = home_domain
+        self.service = service
         self.rest_s = rest_s(plans, runner.stage_s)
         self.results: dict[int, tuple[str, ...]] = {}
         self.finished = {plan.index: asyncio.Event() for plan in plans}
@@ -145,6 +147,13 @@
         for index in stages_to_await(plan, self.plans):
             await self.finished[index].wait()
         inputs = self._inputs(plan)
+        if plan.result_bytes >= LARGE_TRANSFER_BYTES and not plan.after:
+            domain = await self.runner.placement.expected_domain(
+                self.work, self.service
+            )
+            inputs = inputs._replace(
+                preferred_domain=domain, far_bytes=plan.result_bytes
+            )
         handles = await self.runner.client.run_stage(self.context, plan, inputs)
         self.results[plan.index] = handles
         held = self.work.results_by_service
@@ -155,7 +164,7 @@
     def _inputs(self, plan: StagePlan) -> StageInputs:
         """Return a stage's inputs and the failure domain that moves the fewest bytes.
 
-        Each piece fetches all inputs. A stage that follows no other feeds the engine.
+        Each piece fetches all inputs.
         """
         work = self.work
         first_event_s = _first_event_s(work)
@@ -167,9 +176,7 @@
             has_begun=bool(self.results),
         )
         if not plan.after:
-            return inputs._replace(
-                preferred_domain=self.home_domain, far_bytes=plan.result_bytes
-            )
+            return inputs
         sizes: dict[str, int] = {}
         for index in plan.after:
             stage = work.route.stages[index]
--- a/egretshed/stagework/queue.py
+++ b/egretshed/stagework/queue.py
@@ -157,13 +157,18 @@
     limits: StageLimits,
     now_s: float,
 ) -> list[ChosenPiece]:
-    """Return the pieces for the next call to `server`, in the order given."""
+    """Return the pieces for the next call to `server`, in the order given.
+
+    Pieces that would rather be made in another failure domain come last.
+    """
     call_s = call_time_s(limits, 1, server.slowness)
     chosen: list[ChosenPiece] = []
     room_bytes = server.room_bytes
-    for job in ordered:
-        if not _may_go_to(job, server, usable_domains, now_s, call_s):
-            continue
+    fitting = [
+        job for job in ordered if _may_go_to(job, server, usable_domains, now_s, call_s)
+    ]
+    fitting.sort(key=lambda job: _waits_for_another(job, server, now_s, call_s))
+    for job in fitting:
         for segment in job.segments:
             if len(chosen) == limits.batch_items:
                 return chosen
@@ -189,15 +194,22 @@
     now_s: float,
     call_s: float,
 ) -> bool:
-    if job.far_bytes < LARGE_TRANSFER_BYTES:
-        return True
-    if job.preferred_domain in ("", server.failure_domain):
+    if not _waits_for_another(job, server, now_s, call_s):
         return True
     if job.preferred_domain not in usable_domains:
         return True
-    if now_s - job.queued_s >= DOMAIN_PATIENCE_S:
-        return True
-    return job.target_at_s - now_s - call_s < DOMAIN_SLACK_S
+    return now_s - job.queued_s >= DOMAIN_PATIENCE_S
+
+
+def _waits_for_another(
+    job: WaitingJob, server: StageServerView, now_s: float, call_s: float
+) -> bool:
+    """Return whether a job has time to wait for a server in another domain."""
+    if job.far_bytes < LARGE_TRANSFER_BYTES:
+        return False
+    if job.preferred_domain in ("", server.failure_domain):
+        return False
+    return job.target_at_s - now_s - call_s >= DOMAIN_SLACK_S
 
 
 def free_servers(
--- a/egretshed/stagework/tests/queue.feature
+++ b/egretshed/stagework/tests/queue.feature
@@ -23,6 +23,8 @@
       | it does not wait for long            | a:0:2:3:y:0.5                          | 18   | x      | a       |
       | it does not wait without slack       | a:0:0.4:3:y:0                          | 18   | x      | a       |
       | it does not wait for a lost domain   | a:0:2:3:z:0                            | 18   | x      | a       |
+      | its own domain first                 | a:0:2:3:y:0.5 b:0:3:3:x:0              | 6    | x      | b a     |
+      | one without slack first              | a:0:0.4:3:y:0 b:0:3:3:x:0              | 6    | x      | a b     |
       | a small result goes anywhere         | a:0:2:0.1:y:0                          | 18   | x      | a       |
 
   # Guards against calls with one piece while many wait: a burst of 2.2 times the usual
