After a mass start, take the configuration and the owners from who is listed

They asked the readers by rank among the nodes that they had heard of, which were as slow and had no configuration either. Up to 11 nodes batched stages at once, and 409 calls found servers full. Ruled out: the store (its answers took 10 ms on large links). Change: a node without a table asks any listed VM with a large link; for 4 s after its start a node counts listed nodes that it has not heard of as candidates for duties. Measured: tables of follower.feature and owners.feature.

--- a/egretshed/feeds/peer_copies.py
+++ b/egretshed/feeds/peer_copies.py
@@ -141,6 +141,9 @@
             self._asks_store.add(table)
             return store
         self._asks_store.discard(table)
+        if not follower.is_loaded:
+            # The readers of a fleet that has just started may have slow links too.
+            readers = self.owners.strong_nodes(SLOW_LINK_MBPS) or readers
         return PeerFeed(self.peers, self.env.random.choice(readers))
 
     def _may_ask_store(self, follower: TableFollower, now_s: float) -> bool:
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -44,3 +44,16 @@
       | a=5 is written                         | 3     | a=5 b=2 |
       | a is removed                           | 3     | b=2     |
       | a is removed and node-1 starts anew    | 3     | b=2     |
+
+  # Guards against a configuration that all nodes read over slow links after a loss of
+  # power, and against nodes that wait for a peer that is not there.
+  Scenario Outline: A fleet starts with links of <links> Mbit/s, node-1 is <state>
+    Given 3 nodes that follow a store table with rows a=1 b=2
+    When all start anew, with links of <links> Mbit/s, and node-1 is <state>
+    Then all that run have rows "a=1 b=2", and "<readers>" read the store
+
+    Examples:
+      | links          | state   | readers              |
+      | 1000 1000 1000 | running | node-1 node-2 node-3 |
+      | 200 10 10      | running | node-1 node-2        |
+      | 200 10 10      | gone    | node-2 node-3        |
--- a/egretshed/feeds/tests/steps/copies_steps.py
+++ b/egretshed/feeds/tests/steps/copies_steps.py
@@ -12,7 +12,10 @@
 from egretshed.feeds.tests.steps.follower_steps import FakeFeed
 from egretshed.gen.messages.ttypes import TableRows
 from standins.clock import ManualClock
-from standins.environments import make_environment
+from standins.environments import (
+    make_environment,
+    make_settings,
+)
 from standins.peers import InMemoryNetwork
 
 TABLE = "t"
@@ -35,13 +38,17 @@
 
 
 class FakeOwners:
-    """All nodes are reachable; none is ranked first as a reader but itself."""
+    """All nodes are reachable; `reader` is ranked first, or each node itself."""
 
-    def __init__(self, own_id):
+    def __init__(self, own_id, reader=""):
         self.own_id = own_id
+        self.reader = reader or own_id
 
     def ranked(self, duty):
-        return [self.own_id, *self.others()]
+        return [self.reader]
+
+    def strong_nodes(self, least_link_mbps):
+        return ["node-1"] if self.own_id != "node-1" else []
 
     def others(self):
         return [name for name in NAMES if name != self.own_id]
@@ -53,6 +60,7 @@
     def __init__(self, feed, turned_away):
         self.feed = feed
         self.turned_away = turned_away
+        self.whole_reads = 0
 
     def _check(self):
         if self.turned_away:
@@ -60,6 +68,7 @@
 
     async def read_table(self, table, part=""):
         self._check()
+        self.whole_reads += 1
         return await self.feed.read_table(table, part)
 
     async def changes(self, table, after, wait_s):
@@ -72,17 +81,21 @@
 class FollowingNode:
     """One node that follows the table, with its tasks."""
 
-    def __init__(self, name, network, feed):
+    def __init__(self, name, network, feed, link_mbps=1000.0, reader=""):
         clock = network.clock
-        self.env = make_environment(clock, name)
+        node = {"node_id": name, "failure_domain": "a", "region": "r"}
+        settings = make_settings(name, node={**node, "link_mbps": link_mbps})
+        self.env = make_environment(clock, name, settings=settings)
         self.peers = network.attach(self.env)
         self.store = StoreOf(feed, False)
         self.follower = TableFollower(
-            self.env, lambda: self.store, TABLE, lambda rows, is_whole: None
-        )
-        self.copies = PeerCopies(
-            self.env, self.peers, FakeOwners(name), {TABLE: self.follower}
+            self.env,
+            lambda: self.copies.source(self.follower, self.store),
+            TABLE,
+            lambda rows, is_whole: None,
         )
+        owners = FakeOwners(name, reader)
+        self.copies = PeerCopies(self.env, self.peers, owners, {TABLE: self.follower})
         self.tasks = [
             asyncio.create_task(self.follower.run()),
             asyncio.create_task(self.copies.run()),
@@ -145,3 +158,34 @@
 def nothing_twice(context):
     assert all(len(value or b"") < 2000 for value in context.sent_values)
     assert all(value != b"2" for value in context.sent_values), context.sent_values
+
+
+@when("all start anew, with links of {links} Mbit/s, and node-1 is {state}")
+def all_start(context, links, state):
+    async def play():
+        network = RecordingNetwork(context.clock)
+        nodes = {
+            name: FollowingNode(name, network, context.feed, float(link), "node-2")
+            for name, link in zip(NAMES, links.split(), strict=True)
+        }
+        if state == "gone":
+            network.paused.add("node-1")
+            nodes["node-1"].stop()
+        await context.clock.advance(2.0)
+        for node in nodes.values():
+            node.stop()
+        return {
+            name: (node.store.whole_reads, node.values())
+            for name, node in nodes.items()
+            if not (state == "gone" and name == "node-1")
+        }
+
+    context.started = asyncio.run(play())
+
+
+@then('all that run have rows "{rows}", and "{names}" read the store')
+def read_by(context, rows, names):
+    expected = {k: v.encode() for k, v in (pair.split("=") for pair in rows.split())}
+    read = {name for name, (reads, _) in context.started.items() if reads}
+    assert read == set(names.split()), read
+    assert all(values == expected for _, values in context.started.values())
--- a/egretshed/membership/service_owner.py
+++ b/egretshed/membership/service_owner.py
@@ -18,6 +18,9 @@
 
 # An owner that did not answer is passed over this long.
 AVOID_S = 1.0
+# For this long after its start a node counts listed nodes that it has not heard of:
+# after a loss of power all would take on each duty until they know each other.
+JOINING_S = 4.0
 # A VM with this much or more can carry any duty at today's sizes.
 ENOUGH_CORES = 1.0
 ENOUGH_LINK_MBPS = 100.0
@@ -48,21 +51,36 @@
     def __init__(self, env: Environment, membership: MembershipService):
         self.env = env
         self.membership = membership
+        self._began_s = env.clock.monotonic_s()
         self._avoid_until_s: dict[str, float] = {}
 
     def ranked(self, duty: str) -> list[str]:
         """Return the nodes that may take on a duty, the first choice first."""
         now_s = self.env.clock.monotonic_s()
-        usable = {
-            member.node_id
-            for member in self.membership.reachable()
-            if not member.leaving
-            and now_s >= self._avoid_until_s.get(member.node_id, 0.0)
-        }
+        found = {m.node_id for m in self.membership.reachable() if not m.leaving}
+        if now_s - self._began_s < JOINING_S:
+            found |= self._unheard_of()
+        usable = {n for n in found if now_s >= self._avoid_until_s.get(n, 0.0)}
         usable.add(self.env.identity.node_id)
         listed = self.membership.listed_vm
         return rank_nodes(duty, {n: carrying_weight(listed(n)) for n in usable})
 
+    def _unheard_of(self) -> set[str]:
+        return {
+            vm.node_id
+            for vm in self.membership.listed()
+            if self.membership.member(vm.node_id) is None
+        }
+
+    def strong_nodes(self, least_link_mbps: float) -> list[str]:
+        """Return other listed nodes with at least such a link, heard of or not."""
+        own_id = self.env.identity.node_id
+        return [
+            vm.node_id
+            for vm in self.membership.listed()
+            if vm.link_mbps >= least_link_mbps and vm.node_id != own_id
+        ]
+
     def others(self) -> list[str]:
         """Return the other nodes that are reachable."""
         own_id = self.env.identity.node_id
--- a/egretshed/membership/tests/owners.feature
+++ b/egretshed/membership/tests/owners.feature
@@ -27,3 +27,17 @@
       | nothing happens             | 0     | 0    |
       | a node joins after 1 s      | 1     | 1    |
       | an unlisted node is reached | 1     | 3    |
+
+  # Guards against a fleet in which every node takes on each duty after a mass start, and
+  # against duties that stay with nodes that have gone.
+  Scenario Outline: <age> s after its start a node that knows "<known>" ranks listed ones
+    Given nodes "n1 n2 n3" are listed, and "n1" knows of "<known>", of which "<gone>" have gone
+    When "n1" ranks the nodes for a duty <age> s after its start
+    Then these are "<ranked>"
+
+    Examples:
+      | age | known    | gone | ranked   |
+      | 0   | n1       | none | n1 n2 n3 |
+      | 0   | n1 n2    | n2   | n1 n3    |
+      | 5   | n1       | none | n1       |
+      | 5   | n1 n3    | none | n1 n3    |
--- a/egretshed/membership/tests/steps/owner_steps.py
+++ b/egretshed/membership/tests/steps/owner_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+from typing import NamedTuple
 
 from behave import (
     given,
@@ -7,6 +8,7 @@
 )
 
 from egretshed.membership.service_owner import (
+    ServiceOwners,
     carrying_weight,
     rank_nodes,
 )
@@ -91,3 +93,53 @@
 @then("the list was read {least:d} to {most:d} times after the start")
 def was_read(context, least, most):
     assert least <= context.reads <= most, context.reads
+
+
+class KnownMember(NamedTuple):
+    node_id: str
+    leaving: bool = False
+
+
+class ListingMembership:
+    """Knows some of the listed nodes; some of those have gone."""
+
+    def __init__(self, listed, known, gone):
+        self.names = listed
+        self.known = known
+        self.gone = gone
+
+    def listed(self):
+        return [ListedVm(name, "entry", "h", 1, 2, "a", "r") for name in self.names]
+
+    def listed_vm(self, node_id):
+        return None
+
+    def member(self, node_id):
+        return KnownMember(node_id) if node_id in self.known else None
+
+    def reachable(self):
+        return [KnownMember(name) for name in self.known if name not in self.gone]
+
+
+@given(
+    'nodes "{listed}" are listed, and "n1" knows of "{known}", '
+    'of which "{gone}" have gone'
+)
+def knows(context, listed, known, gone):
+    context.membership = ListingMembership(listed.split(), known.split(), gone.split())
+
+
+@when('"n1" ranks the nodes for a duty {age:d} s after its start')
+def ranks(context, age):
+    async def play():
+        clock = ManualClock()
+        owners = ServiceOwners(make_environment(clock, "n1"), context.membership)
+        await clock.advance(age)
+        return owners.ranked("duty")
+
+    context.ranked = asyncio.run(play())
+
+
+@then('these are "{ranked}"')
+def these_are(context, ranked):
+    assert sorted(context.ranked) == ranked.split(), context.ranked
