--- a/egretshed/membership/tests/owners.feature
+++ b/egretshed/membership/tests/owners.feature
@@ -31,7 +31,7 @@
   # Guards against a fleet in which every node takes on each duty after a mass start, and
   # against duties that stay with nodes that have gone.
   Scenario Outline: <age> s after its start a node that knows "<known>" ranks listed ones
-    Given nodes "n1 n2 n3" are listed, and "n1" knows of "<known>", of which "<gone>" have gone
+    Given a list of "n1 n2 n3", and "n1" knows of "<known>", of which "<gone>" have gone
     When "n1" ranks the nodes for a duty <age> s after its start
     Then these are "<ranked>"
 
--- a/egretshed/membership/tests/steps/owner_steps.py
+++ b/egretshed/membership/tests/steps/owner_steps.py
@@ -121,10 +121,7 @@
         return [KnownMember(name) for name in self.known if name not in self.gone]
 
 
-@given(
-    'nodes "{listed}" are listed, and "n1" knows of "{known}", '
-    'of which "{gone}" have gone'
-)
+@given('a list of "{listed}", and "n1" knows of "{known}", of which "{gone}" have gone')
 def knows(context, listed, known, gone):
     context.membership = ListingMembership(listed.split(), known.split(), gone.split())
 
