--- a/egretshed/feeds/follower.py
+++ b/egretshed/feeds/follower.py
@@ -112,11 +112,15 @@
             left_s = end_s - self.env.clock.monotonic_s()
             if left_s <= 0:
                 return
+            changed = asyncio.ensure_future(self._changed.wait())
+            timer = asyncio.ensure_future(self.env.clock.sleep(left_s))
             try:
-                async with asyncio.timeout(left_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                return
+                await asyncio.wait(
+                    {changed, timer}, return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                changed.cancel()
+                timer.cancel()
 
     def adopt(self, state: TableState) -> bool:
         """Take over a peer's newer state; return whether it was newer."""
@@ -145,10 +149,13 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         pause_s = RETRY_MIN_S
+        losses = 0
         while True:
+            has_read_whole = self._must_read_whole
             try:
                 await self._step()
             except HistoryLost:
+                losses += 1
                 log_event(
                     self.env.logger,
                     "table_history_lost",
@@ -157,6 +164,10 @@
                 )
                 self._must_read_whole = True
                 self._note_lost("history_lost")
+                if losses > 1:
+                    # A store that forgets all the time is not read all the time.
+                    await self.env.clock.sleep(pause_s)
+                    pause_s = min(RETRY_MAX_S, pause_s * RETRY_FACTOR)
             except TooLargeForPeers:
                 self.wants_store = True
             except PlatformUnavailable as error:
@@ -164,7 +175,8 @@
                 await self.env.clock.sleep(pause_s * self.env.random.uniform(0.7, 1.3))
                 pause_s = min(RETRY_MAX_S, pause_s * RETRY_FACTOR)
             else:
-                pause_s = RETRY_MIN_S
+                if not has_read_whole:
+                    losses, pause_s = 0, RETRY_MIN_S
 
     async def _step(self) -> None:
         if self._must_read_whole:
--- a/egretshed/feeds/peer_copies.py
+++ b/egretshed/feeds/peer_copies.py
@@ -135,10 +135,7 @@
         now_s = self.env.clock.monotonic_s()
         table = follower.table
         if follower.wants_store or self._may_ask_store(follower, now_s):
-            if follower.wants_store or table not in self._asks_store:
-                self._asked_store_s[table] = now_s
-            follower.wants_store = False
-            self._asks_store.add(table)
+            self._note_asks_store(follower, now_s)
             return store
         self._asks_store.discard(table)
         if not follower.is_loaded:
@@ -146,6 +143,16 @@
             readers = self.owners.strong_nodes(SLOW_LINK_MBPS) or readers
         return PeerFeed(self.peers, self.env.random.choice(readers))
 
+    def _note_asks_store(self, follower: TableFollower, now_s: float) -> None:
+        table = follower.table
+        if table not in self._asked_store_s:
+            # The first read only; the readers tell what changes after it.
+            self._asked_store_s[table] = now_s - STORE_TRY_PERIOD_S
+        elif follower.wants_store or table not in self._asks_store:
+            self._asked_store_s[table] = now_s
+            self._asks_store.add(table)
+        follower.wants_store = False
+
     def _may_ask_store(self, follower: TableFollower, now_s: float) -> bool:
         """Return whether a node that is no reader asks the store itself.
 
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -57,3 +57,10 @@
       | 1000 1000 1000 | running | node-1 node-2 node-3 |
       | 200 10 10      | running | node-1 node-2        |
       | 200 10 10      | gone    | node-2 node-3        |
+
+  # Guards against a node that reads a table without a pause from a store that never has
+  # the history for it.
+  Scenario: The store forgets its history all the time
+    Given a store table with rows a=1 b=2 that is followed
+    When the store forgets its history all the time for 6 s
+    Then the table was read 20 times at most
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -287,8 +287,7 @@
     async def _relay_stream(
         self, work: Work, server: ServerState, exchange: Exchange, answer, placement
     ) -> None:
-        if not work.reply.is_started:
-            self._check_answer(answer, work)
+        self._check_answer(answer, work)
         splitter = EventSplitter()
         pieces = exchange.pieces()
         patience_s = self._first_event_patience_s(work)
--- /dev/null
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -0,0 +1,241 @@
+"""Random outcomes of every send of one request, against promises a reader can check.
+
+Oracle: a request that must not be repeated runs at most once; no request runs on more
+servers than its route allows; a refusal is given only if nothing ran; an answer that
+looks complete is the whole answer of one run, or of runs that went on where the last
+one stopped.
+"""
+
+import asyncio
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+)
+from tornado.httputil import HTTPHeaders
+
+from egretshed.errors import (
+    BackendError,
+    EgretshedError,
+    NotRun,
+)
+from egretshed.relay.attempt import Attempts
+from egretshed.relay.request import CallerRequest
+from egretshed.relay.work import Work
+from egretshed.retries.shared_budget import SharedRetryBudget
+from egretshed.servers.records import (
+    ListedServer,
+    ServerAddress,
+    ServerPhase,
+)
+from egretshed.servers.state import ServerState
+from egretshed.serving.schema import (
+    RepeatRule,
+    Route,
+    Service,
+    WeightedService,
+)
+from egretshed.upstream.exchange import (
+    AnswerHead,
+    ExchangeFailed,
+)
+from standins.clock import ManualClock
+from standins.environments import make_environment
+from standins.fuzz import fuzz_main
+
+EVENTS = 4
+BODY = b"the whole answer"
+KINDS = {
+    "book": (RepeatRule.NON_IDEMPOTENT, 1, False),
+    "read": (RepeatRule.IDEMPOTENT, 2, False),
+    "stream": (RepeatRule.STREAM, 1, False),
+    "resumable": (RepeatRule.STREAM, 3, True),
+}
+# What becomes of one send; those of the second group did not run.
+RAN = ("ok", "error", "unsigned", "bare_503", "other_id", "no_head", "cut", "cut_event")
+NOT_RAN = ("unreachable", "full", "moved")
+outcomes = st.lists(st.sampled_from(RAN + NOT_RAN), min_size=1, max_size=7)
+
+
+def event(number):
+    return f"id: {number}\ndata: x\n\n".encode()
+
+
+class FakeReply:
+    """What the caller sees."""
+
+    def __init__(self):
+        self.is_started = self.is_finished = self.is_aborted = False
+        self.gone = asyncio.Event()
+        self.status = 0
+        self.body = b""
+
+    def start(self, status, headers, body=None):
+        assert not self.is_started, "a second head"
+        self.is_started, self.status = True, status
+        if body is not None:
+            self.body, self.is_finished = body, True
+
+    async def write(self, chunk):
+        assert self.is_started and not self.is_finished
+        self.body += chunk
+
+    def finish(self):
+        assert not self.is_finished
+        self.is_finished = True
+
+
+class FakeExchange:
+    """One send with the outcome that was drawn for it."""
+
+    def __init__(self, outcome, is_stream, ran):
+        self.outcome = outcome
+        self.is_stream = is_stream
+        self.ran = ran
+        self.first = 1
+
+    def send(self, request):
+        headers = dict(request.headers)
+        self.first = int(headers.get("Last-Event-Id", "0")) + 1
+        self.request_id = headers["Request-Id"]
+        if self.outcome in RAN:
+            self.ran.append(self.outcome)
+
+    async def head(self):
+        headers = HTTPHeaders({"Request-Id": self.request_id})
+        if self.outcome == "no_head":
+            raise ExchangeFailed("connection closed")
+        if self.outcome == "other_id":
+            headers["Request-Id"] = "another"
+        if self.outcome == "full":
+            headers["Not-Executed"] = "1"
+        if self.outcome != "unsigned":
+            headers["Replica-Signature"] = "s"
+        status = {"error": 500, "bare_503": 503, "full": 503, "moved": 421}
+        return AnswerHead(status.get(self.outcome, 200), "", headers)
+
+    async def pieces(self):
+        if not self.is_stream:
+            yield BODY[: len(BODY) // 2]
+            if self.outcome in ("cut", "cut_event"):
+                raise ExchangeFailed("answer cut")
+            yield BODY[len(BODY) // 2 :]
+            return
+        is_cut = self.outcome in ("cut", "cut_event")
+        last = (self.first + EVENTS) // 2 if is_cut else EVENTS
+        for number in range(self.first, last + 1):
+            yield event(number)
+        if self.outcome == "cut_event":
+            yield event(last + 1)[:4]
+        if is_cut:
+            raise ExchangeFailed("answer cut")
+
+    async def body(self):
+        return b"".join([piece async for piece in self.pieces()])
+
+    def close(self):
+        pass
+
+
+class FakePool:
+    def __init__(self, drawn, is_stream):
+        self.drawn = list(drawn)
+        self.is_stream = is_stream
+        self.ran = []
+
+    async def open(self, address, limit_bytes, reuse=False):
+        outcome = self.drawn.pop(0) if self.drawn else "ok"
+        if outcome == "unreachable":
+            raise ExchangeFailed("cannot connect", may_have_run=False)
+        return FakeExchange(outcome, self.is_stream, self.ran)
+
+
+class FakeServers:
+    """Chooses the next server that was not tried; keeps no share of cold ones."""
+
+    def __init__(self):
+        self.states = [
+            ServerState(
+                ListedServer(
+                    f"s{n}", "x", ServerAddress("h", n), "a", ServerPhase.READY, 8
+                )
+            )
+            for n in range(4)
+        ]
+
+    async def choose(self, work, service, tried, sizes):
+        left = [state for state in self.states if state.server_id not in tried]
+        return (left[0], None) if left else None
+
+    def take_cold_share(self, server, rate_per_s):
+        pass
+
+    def bytes_by_domain(self, work):
+        return {}
+
+    def release(self, work):
+        pass
+
+
+def make_work(kind, reply):
+    rule_, attempts, is_resumable = KINDS[kind]
+    route = Route(
+        kind,
+        "h",
+        "/",
+        rule_,
+        5.0,
+        1.0,
+        1,
+        (WeightedService("x", 1.0),),
+        attempts,
+        is_resumable=is_resumable,
+        event_pause_s=0.5,
+    )
+    request = CallerRequest(
+        "r", "POST", "/", "h", "", (("Request-Id", "r"),), b"", 1000.0
+    )
+    return Work(request, reply, route, None, 1, "x", 1005.0, 1001.0)
+
+
+class AttemptMachine(RuleBasedStateMachine):
+    @rule(kind=st.sampled_from(sorted(KINDS)), drawn=outcomes)
+    def request(self, kind, drawn):
+        asyncio.run(self.play(kind, drawn))
+
+    async def play(self, kind, drawn):
+        env = make_environment(ManualClock())
+        is_stream = KINDS[kind][0] is RepeatRule.STREAM
+        servers, pool = FakeServers(), FakePool(drawn, is_stream)
+        budget = SharedRetryBudget(env, lambda: 1)
+        attempts = Attempts(env, servers, servers, None, servers, pool, budget)
+        reply = FakeReply()
+        failure = None
+        try:
+            await attempts.run(make_work(kind, reply), Service("x", 10, 0.0))
+        except EgretshedError as error:
+            failure = error
+        self.check(kind, drawn, reply, failure, pool.ran)
+
+    def check(self, kind, drawn, reply, failure, ran):
+        told = (kind, drawn, reply.status, reply.body, failure, ran)
+        _, attempts, is_resumable = KINDS[kind]
+        assert len(ran) <= attempts, told
+        assert not isinstance(failure, NotRun) or not ran, told
+        assert failure is None or not reply.is_finished, told
+        assert not isinstance(failure, BackendError), told
+        if failure is None:
+            assert reply.is_finished, told
+        if not reply.is_finished:
+            return
+        assert reply.status not in (408, 421, 429, 503), told
+        whole = b"".join(event(n) for n in range(1, EVENTS + 1))
+        if reply.status == 200:
+            expected = whole if KINDS[kind][0] is RepeatRule.STREAM else BODY
+            assert reply.body == expected, told
+            assert ran[-1] == "ok", told
+
+
+if __name__ == "__main__":
+    fuzz_main(AttemptMachine, examples=40, steps=20)
