Split the waiting jobs from the owner of the calls

Change: waiting.py holds the queues and works out which requests may begin; owner.py accepts jobs, makes the calls and reports. No decision is changed. Measured: queue.feature and entry_node.feature pass as before.

--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections import (
     OrderedDict,
-    defaultdict,
 )
 from collections.abc import Callable
 
@@ -33,12 +32,6 @@
     FULL_PAUSE_S,
     StageCapacity,
 )
-from egretshed.stagework.entrance import (
-    ServiceLoad,
-    WaitingRequest,
-    admit,
-    expected_ends_s,
-)
 from egretshed.stagework.freeing import ResultFreer
 from egretshed.stagework.jobs import (
     PieceFailure,
@@ -55,9 +48,10 @@
     call_time_s,
     choose_batch,
     free_servers,
-    next_call_s,
-    startable,
-    urgency,
+)
+from egretshed.stagework.waiting import (
+    JobId,
+    WaitingJobs,
 )
 from egretshed.upstream.pool import ConnectionPool
 
@@ -70,11 +64,6 @@
 # When a submitter that asked again should ask the next time.
 CONFIRMED_AGAIN_S = 0.4
 RETRY_AFTER_LIMITS_S = (0.2, 2.0)
-# While this many requests wait, their order is worked out at most this often.
-MANY_REQUESTS = 48
-ORDER_AGE_S = 0.04
-
-JobId = tuple[str, int]
 
 
 class StageOwner:
@@ -95,12 +84,10 @@
         self.progress = ProgressBook()
         self.capacity = StageCapacity(env, configuration, servers, self.progress)
         self._jobs: dict[JobId, RunningJob] = {}
-        self._queues: dict[str, dict[JobId, WaitingJob]] = defaultdict(dict)
+        self.waiting = WaitingJobs(env, self.capacity, self.progress)
         self._tasks: set[asyncio.Task] = set()
         self._finished: OrderedDict[JobId, StageOutcome] = OrderedDict()
         self._freer = ResultFreer(env, pool, self._on_freed)
-        self._ordered: list[tuple[tuple[str, str], float]] = []
-        self._ordered_at_s = 0.0
 
     def submit(self, job: StageJob, on_done: Callable[[StageOutcome], None]) -> float:
         """Queue a job; return when its last piece is expected, in seconds.
@@ -119,19 +106,17 @@
             return 0.0
         now_s = self.env.clock.monotonic_s()
         waiting = waiting_job(job, limits, now_s)
-        queue = self._queues[job.service]
-        waiting_before = len(queue)
+        waiting_before = len(self.waiting.queues[job.service])
         self.progress.note_plan(
             job.request_key, dict(job.plan), job.has_begun, waiting.deadline_at_s
         )
+        self.waiting.add(job.service, waiting)
         has_begun = self.progress.has_begun(job.request_key)
-        queue[job.job_id] = waiting._replace(has_begun=has_begun)
         expected_s = call_time_s(limits, min(len(job.segments), limits.batch_items))
         if not has_begun:
-            self._ordered_at_s = 0.0
-            expected_s = self._expected_ends_s().get(job.request_key, expected_s)
+            expected_s = self.waiting.expected_ends_s().get(job.request_key, expected_s)
         if not has_begun and expected_s > job.deadline_s:
-            del queue[job.job_id]
+            self.waiting.remove(job.service, job.job_id)
             self.progress.drop(job.request_key)
             self._log_job(job, waiting_before, expected_s, "refused")
             raise NotRun(
@@ -171,7 +156,7 @@
         running = self._jobs.pop(job_id, None)
         if running is None:
             return
-        self._queues[running.job.service].pop(job_id, None)
+        self.waiting.remove(running.job.service, job_id)
         self.progress.drop(running.job.request_key)
         self.free(list(running.handles.values()))
 
@@ -200,27 +185,23 @@
 
     def _expire(self) -> None:
         now_s = self.env.clock.monotonic_s()
-        for queue in self._queues.values():
-            for waiting in list(queue.values()):
-                if waiting.deadline_at_s <= now_s:
-                    self._fail(waiting.ticket, StageOutcome((), PieceFailure.TOO_LATE))
+        for waiting in self.waiting.all():
+            if waiting.deadline_at_s <= now_s:
+                self._fail(waiting.ticket, StageOutcome((), PieceFailure.TOO_LATE))
 
     def _refuse_hopeless(self) -> None:
         """Refuse requests that have not begun and cannot end in time any more."""
         now_s = self.env.clock.monotonic_s()
-        ends_s = self._expected_ends_s()
-        for queue in self._queues.values():
-            for waiting in list(queue.values()):
-                end_s = ends_s.get(waiting.request_key)
-                left_s = waiting.deadline_at_s - now_s
-                if end_s is None or end_s <= left_s or waiting.is_started:
-                    continue
-                retry_after_s = _retry_after_s(end_s, left_s)
-                self._log_refusal(waiting, end_s, left_s)
-                self._fail(
-                    waiting.ticket,
-                    StageOutcome((), PieceFailure.NO_TIME, retry_after_s),
-                )
+        ends_s = self.waiting.expected_ends_s()
+        for waiting in self.waiting.all():
+            end_s = ends_s.get(waiting.request_key)
+            left_s = waiting.deadline_at_s - now_s
+            if end_s is None or end_s <= left_s or waiting.is_started:
+                continue
+            self._log_refusal(waiting, end_s, left_s)
+            retry_after_s = _retry_after_s(end_s, left_s)
+            refusal = StageOutcome((), PieceFailure.NO_TIME, retry_after_s)
+            self._fail(waiting.ticket, refusal)
 
     def _log_refusal(self, waiting: WaitingJob, end_s: float, left_s: float) -> None:
         job = self._jobs[waiting.ticket].job
@@ -234,55 +215,14 @@
             waited_s=round(self.env.clock.monotonic_s() - waiting.queued_s, 3),
         )
 
-    def _waiting_requests(self) -> list[WaitingRequest]:
-        """Return the requests that have not begun, the most urgent first."""
-        now_s = self.env.clock.monotonic_s()
-        is_recent = now_s - self._ordered_at_s < ORDER_AGE_S
-        if not is_recent or len(self._ordered) < MANY_REQUESTS:
-            self._ordered = self._order_requests(now_s)
-            self._ordered_at_s = now_s
-        has_begun = self.progress.has_begun
-        return [
-            WaitingRequest(key, plan, deadline_at_s)
-            for key, deadline_at_s in self._ordered
-            if not has_begun(key) and (plan := self.progress.plan(key))
-        ]
-
-    def _order_requests(self, now_s: float) -> list[tuple[tuple[str, str], float]]:
-        """Return the keys and deadlines of waiting requests, by urgency."""
-        first: dict[tuple[str, str], tuple] = {}
-        deadlines: dict[tuple[str, str], float] = {}
-        for service, queue in self._queues.items():
-            limits = self.capacity.limits(service)
-            if limits is None:
-                continue
-            call_s = next_call_s(queue.values(), limits)
-            for job in queue.values():
-                if job.has_begun:
-                    continue
-                key = job.request_key
-                rank = urgency(job, now_s, call_s)
-                first[key] = min(rank, first.get(key, rank))
-                deadlines[key] = job.deadline_at_s
-        return [(key, deadlines[key]) for key in sorted(first, key=first.get)]
-
-    def _loads(self, waiting: list[WaitingRequest]) -> dict[str, ServiceLoad]:
-        services = {stage.service for request in waiting for stage in request.plan}
-        found = {service: self.capacity.load(service) for service in services}
-        return {service: load for service, load in found.items() if load is not None}
-
-    def _expected_ends_s(self) -> dict[tuple[str, str], float]:
-        waiting = self._waiting_requests()
-        return expected_ends_s(waiting, self._loads(waiting)) if waiting else {}
-
     def _pump_all(self) -> None:
-        for service in list(self._queues):
+        for service in list(self.waiting.queues):
             self._pump(service)
 
     def _pump(self, service: str) -> None:
         """Start a call on each server that is free, while jobs wait."""
         limits = self.capacity.limits(service)
-        queue = self._queues[service]
+        queue = self.waiting.queues[service]
         if limits is None or not queue:
             return
         views = self.capacity.views(service, limits)
@@ -292,24 +232,12 @@
             return
         domains = {view.failure_domain for view in views}
         now_s = self.env.clock.monotonic_s()
-        ordered = self._startable(service, limits, now_s)
+        ordered = self.waiting.startable(service, limits, now_s)
         for view in free:
             batch = choose_batch(ordered, view, domains, limits, now_s)
             if batch:
                 self._start_call(service, view, batch, limits)
-                ordered = self._startable(service, limits, now_s)
-
-    def _startable(
-        self, service: str, limits: StageLimits, now_s: float
-    ) -> list[WaitingJob]:
-        requests = self._waiting_requests()
-        return startable(
-            self._queues[service].values(),
-            admit(requests, self._loads(requests)),
-            self.capacity.views(service, limits),
-            limits,
-            now_s,
-        )
+                ordered = self.waiting.startable(service, limits, now_s)
 
     def _start_call(
         self,
@@ -319,38 +247,13 @@
         limits: StageLimits,
     ) -> None:
         for piece in batch:
-            self._take(service, piece, view.failure_domain)
+            self.waiting.take(service, piece, view.failure_domain)
+            self._jobs[piece.ticket].in_calls += 1
         size_bytes = sum(piece.result_bytes for piece in batch)
         self.capacity.note_call(view.server_id, size_bytes)
         server = self.servers.servers[view.server_id]
         self._spawn(self._call(service, server, batch, limits, size_bytes))
 
-    def _take(self, service: str, piece: ChosenPiece, domain: str) -> None:
-        """Take a piece out of the queue; the rest of its job follows it."""
-        queue = self._queues[service]
-        waiting = queue[piece.ticket]
-        running = self._jobs[piece.ticket]
-        running.in_calls += 1
-        if not self.progress.has_begun(waiting.request_key):
-            self.progress.begin(waiting.request_key)
-            self._mark_begun(waiting.request_key)
-        rest = tuple(s for s in waiting.segments if s != piece.segment)
-        if not rest:
-            del queue[piece.ticket]
-            return
-        queue[piece.ticket] = waiting._replace(
-            segments=rest,
-            has_begun=True,
-            is_started=True,
-            preferred_domain=waiting.preferred_domain or domain,
-        )
-
-    def _mark_begun(self, request_key: tuple[str, str]) -> None:
-        for queue in self._queues.values():
-            for ticket, waiting in queue.items():
-                if waiting.request_key == request_key and not waiting.has_begun:
-                    queue[ticket] = waiting._replace(has_begun=True)
-
     async def _call(self, service, server, batch, limits, size_bytes: int) -> None:
         began_s = self.env.clock.monotonic_s()
         slowness = self.capacity.slowness.of(server.server_id)
@@ -461,7 +364,7 @@
         self, running: RunningJob, piece: ChosenPiece, limits: StageLimits
     ) -> None:
         job = running.job
-        queue = self._queues[job.service]
+        queue = self.waiting.queues[job.service]
         waiting = queue.get(job.job_id)
         if waiting is None:
             now_s = self.env.clock.monotonic_s()
@@ -496,7 +399,7 @@
             pieces=len(batch),
             request_ids=request_ids,
             not_made=[result.failure.value for result in results if result.failure],
-            jobs_waiting=len(self._queues[service]),
+            jobs_waiting=len(self.waiting.queues[service]),
             begun_pieces=self.progress.pieces(service),
             waited_s=round(began_s - min(p.queued_s for p in batch), 3),
             expected_s=round(expected_s, 3),
--- /dev/null
+++ b/egretshed/stagework/waiting.py
@@ -0,0 +1,138 @@
+"""Jobs that wait at the node that batches stages, and in which order they may begin."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from egretshed.environment import Environment
+from egretshed.serving.schema import StageLimits
+from egretshed.stagework.capacity import StageCapacity
+from egretshed.stagework.entrance import (
+    ServiceLoad,
+    WaitingRequest,
+    admit,
+    expected_ends_s,
+)
+from egretshed.stagework.progress import (
+    ProgressBook,
+    RequestKey,
+)
+from egretshed.stagework.queue import (
+    ChosenPiece,
+    WaitingJob,
+    next_call_s,
+    startable,
+    urgency,
+)
+
+# While this many requests wait, their order is worked out at most this often.
+MANY_REQUESTS = 48
+ORDER_AGE_S = 0.04
+
+JobId = tuple[str, int]
+
+
+class WaitingJobs:
+    """Queues by service; gathers what the decisions of entrance and queue need."""
+
+    def __init__(
+        self, env: Environment, capacity: StageCapacity, progress: ProgressBook
+    ):
+        self.env = env
+        self.capacity = capacity
+        self.progress = progress
+        self.queues: dict[str, dict[JobId, WaitingJob]] = defaultdict(dict)
+        self._ordered: list[tuple[RequestKey, float]] = []
+        self._ordered_at_s = 0.0
+
+    def add(self, service: str, job: WaitingJob) -> None:
+        """Queue a job; the order of the requests is worked out anew."""
+        has_begun = self.progress.has_begun(job.request_key)
+        self.queues[service][job.ticket] = job._replace(has_begun=has_begun)
+        self._ordered_at_s = 0.0
+
+    def remove(self, service: str, job_id: JobId) -> None:
+        self.queues[service].pop(job_id, None)
+
+    def all(self) -> Iterator[WaitingJob]:
+        """Return all jobs; they may be removed meanwhile."""
+        for queue in list(self.queues.values()):
+            yield from list(queue.values())
+
+    def take(self, service: str, piece: ChosenPiece, failure_domain: str) -> None:
+        """Take out a piece for a call; the rest of its job follows it."""
+        queue = self.queues[service]
+        job = queue[piece.ticket]
+        if not self.progress.has_begun(job.request_key):
+            self.progress.begin(job.request_key)
+            self._mark_begun(job.request_key)
+        rest = tuple(s for s in job.segments if s != piece.segment)
+        if not rest:
+            del queue[piece.ticket]
+            return
+        queue[piece.ticket] = job._replace(
+            segments=rest,
+            has_begun=True,
+            is_started=True,
+            preferred_domain=job.preferred_domain or failure_domain,
+        )
+
+    def _mark_begun(self, request_key: RequestKey) -> None:
+        for queue in self.queues.values():
+            for ticket, job in queue.items():
+                if job.request_key == request_key and not job.has_begun:
+                    queue[ticket] = job._replace(has_begun=True)
+
+    def startable(
+        self, service: str, limits: StageLimits, now_s: float
+    ) -> list[WaitingJob]:
+        """Return the jobs of a service whose pieces may be made now, in order."""
+        requests = self._requests()
+        return startable(
+            self.queues[service].values(),
+            admit(requests, self._loads(requests)),
+            self.capacity.views(service, limits),
+            limits,
+            now_s,
+        )
+
+    def _requests(self) -> list[WaitingRequest]:
+        """Return the requests that have not begun, the most urgent first."""
+        now_s = self.env.clock.monotonic_s()
+        is_recent = now_s - self._ordered_at_s < ORDER_AGE_S
+        if not is_recent or len(self._ordered) < MANY_REQUESTS:
+            self._ordered = self._order_requests(now_s)
+            self._ordered_at_s = now_s
+        has_begun = self.progress.has_begun
+        return [
+            WaitingRequest(key, plan, deadline_at_s)
+            for key, deadline_at_s in self._ordered
+            if not has_begun(key) and (plan := self.progress.plan(key))
+        ]
+
+    def _order_requests(self, now_s: float) -> list[tuple[RequestKey, float]]:
+        """Return the keys and deadlines of waiting requests, by urgency."""
+        first: dict[RequestKey, tuple] = {}
+        deadlines: dict[RequestKey, float] = {}
+        for service, queue in self.queues.items():
+            limits = self.capacity.limits(service)
+            if limits is None:
+                continue
+            call_s = next_call_s(queue.values(), limits)
+            for job in queue.values():
+                if job.has_begun:
+                    continue
+                key = job.request_key
+                rank = urgency(job, now_s, call_s)
+                first[key] = min(rank, first.get(key, rank))
+                deadlines[key] = job.deadline_at_s
+        return [(key, deadlines[key]) for key in sorted(first, key=first.get)]
+
+    def _loads(self, waiting: list[WaitingRequest]) -> dict[str, ServiceLoad]:
+        services = {stage.service for request in waiting for stage in request.plan}
+        found = {service: self.capacity.load(service) for service in services}
+        return {service: load for service, load in found.items() if load is not None}
+
+    def expected_ends_s(self) -> dict[RequestKey, float]:
+        """Return when requests that have not begun are expected to end, from now."""
+        waiting = self._requests()
+        return expected_ends_s(waiting, self._loads(waiting)) if waiting else {}
