Order stages by their graph, not by their numbers

Cause: found when the diff was read: the height of a stage was worked out in the order of the stages' numbers, so that a route whose stage follows one with a higher number would have ended every request with a fault. Ruled out: a wrong order of the stages themselves (they wait for what they follow). Change: heights and the time after a stage are worked out for any order. A method that refuses requests is named for what it does. For stages in order of their numbers the results are the same.

--- a/egretshed/stagework/graph.py
+++ b/egretshed/stagework/graph.py
@@ -42,11 +42,15 @@
 
 
 def heights(plans: list[StagePlan]) -> dict[int, int]:
-    """Return for each stage the number of stages on its longest way to the request."""
-    found: dict[int, int] = {}
-    for plan in reversed(plans):
-        followers = [p for p in plans if plan.index in p.after]
-        found[plan.index] = 1 + max((found[f.index] for f in followers), default=0)
+    """Return for each stage the number of stages on its longest way to the request.
+
+    The stages may be declared in any order.
+    """
+    found = {plan.index: 1 for plan in plans}
+    for _ in plans:
+        for plan in plans:
+            for index in plan.after:
+                found[index] = max(found[index], found[plan.index] + 1)
     return found
 
 
@@ -67,12 +71,12 @@
     plans: list[StagePlan], stage_s: Callable[[StagePlan], float]
 ) -> dict[int, float]:
     """Return for each stage how long the stages after it take, on the longest way."""
-    found: dict[int, float] = {}
-    for plan in reversed(plans):
-        followers = [p for p in plans if plan.index in p.after]
-        found[plan.index] = max(
-            (stage_s(f) + found[f.index] for f in followers), default=0.0
-        )
+    found = {plan.index: 0.0 for plan in plans}
+    for _ in plans:
+        for plan in plans:
+            for index in plan.after:
+                with_plan_s = stage_s(plan) + found[plan.index]
+                found[index] = max(found[index], with_plan_s)
     return found
 
 
--- a/egretshed/stagework/owner.py
+++ b/egretshed/stagework/owner.py
@@ -180,7 +180,7 @@
             await self.env.clock.sleep(FULL_PAUSE_S)
             self.progress.expire(self.env.clock.monotonic_s())
             self._expire()
-            self._refuse_hopeless()
+            self._refuse_too_late()
             self._pump_all()
 
     def _expire(self) -> None:
@@ -189,7 +189,7 @@
             if waiting.deadline_at_s <= now_s:
                 self._fail(waiting.ticket, StageOutcome((), PieceFailure.TOO_LATE))
 
-    def _refuse_hopeless(self) -> None:
+    def _refuse_too_late(self) -> None:
         """Refuse requests that have not begun and cannot end in time any more."""
         now_s = self.env.clock.monotonic_s()
         ends_s = self.waiting.expected_ends_s()
--- /dev/null
+++ b/egretshed/stagework/tests/steps/graph_steps.py
@@ -0,0 +1,27 @@
+from behave import (
+    given,
+    then,
+)
+
+from egretshed.stagework.graph import (
+    StagePlan,
+    rest_s,
+    stages_to_await,
+)
+
+
+@given("a request with the stages {graph}")
+def stages(context, graph):
+    context.plans = []
+    for text in graph.split():
+        index, _, after = text.partition(":")
+        followed = tuple(int(number) for number in after.split(",") if number)
+        context.plans.append(StagePlan(int(index), "s", followed, 1, 1000))
+
+
+@then('stage {stage:d} begins after "{awaited}", and {rest:d} stages follow it')
+def begins_after(context, stage, awaited, rest):
+    found = stages_to_await(context.plans[stage], context.plans)
+    expected = [] if awaited == "none" else [int(n) for n in awaited.split()]
+    assert sorted(found) == expected, found
+    assert rest_s(context.plans, lambda plan: 1.0)[stage] == rest
