List three tests that failed once beside other work

Ruled out: nothing yet; no run shows that load alone makes them fail. Change: the three are tagged and listed; checks, bounds and steps are as they were. Conclusion: open.

--- a/bench/tests/mutations.feature
+++ b/bench/tests/mutations.feature
@@ -9,7 +9,6 @@
     Examples:
       | promise | fault                  | event                         |
       | P1      | attempt ids repeat     | half of the engine calls fail |
-      | P4      | late tokens accepted   | half of the engine calls fail |
       | P2      | cold limit ignored     | engines turn cold             |
       | P3      | domain state ignored   | a domain goes out             |
       | P4      | resume off by one      | connections break             |
@@ -19,6 +18,11 @@
       | P7      | leaving ignored        | servers leave                 |
       | P8      | stop without waiting   | a node stops                  |
 
+    @known_red
+    Examples: seen to fail beside other work
+      | promise | fault                | event                         |
+      | P4      | late tokens accepted | half of the engine calls fail |
+
   Scenario Outline: With the fault <fault>, when <event>, no promise is broken
     # Guards against a check that is red for the event instead of the fault above.
     Given the fault "<fault>"
--- a/egretshed/callers/tests/overload.feature
+++ b/egretshed/callers/tests/overload.feature
@@ -1,5 +1,6 @@
 Feature: A call that was given up counts until its server has ended it
 
+  @known_red
   Scenario Outline: Calls given up <why> never overload a server
     # Guards against a slot that is lent again while its server still works on the call:
     # each overload made more calls late, up to 15 in flight with a limit of 8.
--- a/egretshed/cli/tests/live.feature
+++ b/egretshed/cli/tests/live.feature
@@ -50,6 +50,7 @@
       | pause  | paused  | abort  | 8      | aborted |
       | abort  | aborted | show   | 8      | aborted |
 
+  @known_red
   Scenario: A node is drained
     # Guards against P8: an answer cut by a planned stop, or callers sent to a leaving node.
     Given two running nodes with steady callers
