Ask the store's readers in turn

Two of the five readers, bern-a-1 and aarau-2, were cut off from the store and answered for 3 s more that nothing had changed. A node asked a reader drawn at random every 0.5 s, and drew those two four times in a row. Ruled out: the node's own path (its calls were answered); the longer wait for a silent reader (no call failed at olten-1). Change: the readers are asked in turn, so that two of them delay a change by 1 s at most. Measured: follower.feature: fails before (r1, r4 and r5 asked again first), passes now.

--- a/egretshed/feeds/peer_copies.py
+++ b/egretshed/feeds/peer_copies.py
@@ -124,6 +124,7 @@
         self._began_s = env.clock.monotonic_s()
         self._compressed: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._asks_store: set[str] = set()
+        self._turns: dict[str, int] = {}
         self._asked_store_s: dict[str, float] = {}
         peers.handle(TableFetch, self._answer)
 
@@ -141,7 +142,19 @@
         if not follower.is_loaded:
             # The readers of a fleet that has just started may have slow links too.
             readers = self.owners.strong_nodes(SLOW_LINK_MBPS) or readers
-        return PeerFeed(self.peers, self.env.random.choice(readers))
+        return PeerFeed(self.peers, self._next_reader(table, readers))
+
+    def _next_reader(self, table: str, readers: list[str]) -> str:
+        """Return the readers in turn.
+
+        One that was cut off from the store does not know that it is behind; a change
+        is then missed for as many short waits as there are such readers at most.
+        """
+        turn = self._turns.get(table)
+        if turn is None:
+            turn = self.env.random.randrange(len(readers))
+        self._turns[table] = turn + 1
+        return readers[turn % len(readers)]
 
     def _note_asks_store(self, follower: TableFollower, now_s: float) -> None:
         table = follower.table
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -64,3 +64,10 @@
     Given a store table with rows a=1 b=2 that is followed
     When the store forgets its history all the time for 6 s
     Then the table was read 20 times at most
+
+  # Guards against a change that a node misses for seconds because it asks, by chance, the
+  # same readers again that were cut off from the store.
+  Scenario: Readers are asked in turn
+    Given a node that follows the readers "r1 r2 r3 r4 r5"
+    When it asks for changes 10 times
+    Then each of them was asked once before any was asked again
--- a/egretshed/feeds/tests/steps/copies_steps.py
+++ b/egretshed/feeds/tests/steps/copies_steps.py
@@ -189,3 +189,37 @@
     read = {name for name, (reads, _) in context.started.items() if reads}
     assert read == set(names.split()), read
     assert all(values == expected for _, values in context.started.values())
+
+
+@given('a node that follows the readers "{readers}"')
+def follows_readers(context, readers):
+    context.readers = readers.split()
+
+
+@when("it asks for changes {count:d} times")
+def asks(context, count):
+    async def play():
+        network = InMemoryNetwork(ManualClock())
+        env = make_environment(network.clock, "n1")
+        owners = FakeOwners("n1")
+        owners.ranked = lambda duty: context.readers
+        follower = TableFollower(env, lambda: None, TABLE, lambda rows, is_whole: None)
+        copies = PeerCopies(env, network.attach(env), owners, {TABLE: follower})
+        store = StoreOf(None, False)
+        assert copies.source(follower, store) is store, "the first read"
+        follower.is_connected = True
+        follower.confirmed_s = network.clock.monotonic_s()
+        asked = [copies.source(follower, store) for _ in range(count)]
+        return [feed.node_id for feed in asked]
+
+    context.asked = asyncio.run(play())
+
+
+@then("each of them was asked once before any was asked again")
+def in_turn(context):
+    size = len(context.readers)
+    rounds = [
+        context.asked[start : start + size]
+        for start in range(0, len(context.asked), size)
+    ]
+    assert all(sorted(asked) == context.readers for asked in rounds), context.asked
