Keep a connection only while its server identifies its responses

Cause: a server that sends a second copy of a response on a kept connection, 0 to 150 ms later, had it taken for the response to the next request: stage calls, freeing of results and the store use that pool. A body of which a byte arrived now and then never ended: its limit was on silence alone. Ruled out: a check for unread bytes when a connection is taken. It misses the copy that arrives after the next request was sent. Change: requests on kept connections carry an id; a connection is kept only if the response repeats it, or if its body proves to be new (results have new handles), and nothing arrives in between. Bodies must make progress, all interim responses are skipped, Keep-Alive and Connection are obeyed. Frees and store calls use a connection each unless the server repeats ids.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -26,6 +26,7 @@
 from egretshed.peers.network import TcpPeerNetwork
 from egretshed.peers.shared_key import obtain_shared_key
 from egretshed.placement.engines import EnginePlacer
+from egretshed.platform.headers import HEADERS
 from egretshed.platform.http_messages import encode_error_response
 from egretshed.platform.interface import (
     ChangeFeed,
@@ -97,7 +98,7 @@
 
     def _build_local_services(self) -> None:
         env = self.env
-        self.connection_pool = ConnectionPool(env)
+        self.connection_pool = ConnectionPool(env, HEADERS.request_id)
         self.store = RowStore(env, self.connection_pool)
         self.active_configuration = ActiveConfiguration(env)
         self.peer_sync: PeerTableSync | None = None
--- a/egretshed/platform/store.py
+++ b/egretshed/platform/store.py
@@ -28,6 +28,7 @@
 from egretshed.upstream.exchange import (
     ExchangeFailed,
     OutgoingRequest,
+    ProgressLimit,
     ResponseTimeouts,
 )
 from egretshed.upstream.pool import ConnectionPool
@@ -37,9 +38,9 @@
 # Timeout for the response head of a read or a transaction. A read that exceeds it fails
 # and is repeated by its caller on another connection.
 RESPONSE_TIMEOUT_S = 1.0
-# Maximum gap between parts of a response body. Within it, more than the link's buffer
-# arrives even at 5 Mbit/s shared by several responses.
-BODY_STALL_TIMEOUT_S = 1.0
+# Least progress of a response body. More arrives even at 5 Mbit/s shared by several
+# responses, since the link's buffer is small.
+BODY_PROGRESS = ProgressLimit(window_s=1.0, least_bytes=1024)
 # Allowance for the response head of a feed call beyond the requested wait.
 FEED_TIMEOUT_MARGIN_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -178,7 +179,7 @@
         if content:
             headers.append(("Content-Type", "application/json"))
         request = OutgoingRequest(method, target, tuple(headers), content)
-        timeouts = ResponseTimeouts(head_s=timeout_s, read_s=BODY_STALL_TIMEOUT_S)
+        timeouts = ResponseTimeouts(head_s=timeout_s, body=BODY_PROGRESS)
         return await self.pool.fetch(
             self.address, request, MAX_RESPONSE_BYTES, reuse=True, timeouts=timeouts
         )
--- a/egretshed/stage_scheduling/calls.py
+++ b/egretshed/stage_scheduling/calls.py
@@ -1,6 +1,7 @@
 """Calls to stage servers, and estimates of each server's speed from call times."""
 
 import asyncio
+from collections import OrderedDict
 from enum import Enum
 
 from egretshed.environment import Environment
@@ -12,13 +13,18 @@
     encode_stage_call,
 )
 from egretshed.servers.state import ServerState
-from egretshed.upstream.pool import ConnectionPool
+from egretshed.upstream.pool import (
+    ConnectionPool,
+    Ownership,
+)
 
 # A call times out after this multiple of its expected time plus a fixed margin.
 CALL_TIMEOUT_FACTOR = 4.0
 CALL_TIMEOUT_MARGIN_S = 0.6
 MAX_RESPONSE_BYTES = 1024 * 1024
 OVERLOAD_STATUSES = frozenset({429, 503})
+# Handles remembered to recognise a second copy of a response; some minutes of calls.
+MAX_KNOWN_HANDLES = 20_000
 # Weight of a new observation in the moving average of a server's slowness, and the
 # half-life with which the average decays to 1 while there are no observations.
 SLOWNESS_EWMA_WEIGHT = 0.3
@@ -38,8 +44,41 @@
     MAY_HAVE_RUN = "may_have_run"
 
 
+class KnownHandles:
+    """Handles that stage servers have returned, the most recent ones.
+
+    A server gives each result a new handle, so a response with a known one is a second
+    copy of an earlier response.
+    """
+
+    def __init__(self) -> None:
+        self._handles: OrderedDict[str, None] = OrderedDict()
+
+    def identify(self, body: bytes, count: int) -> Ownership:
+        """Return whether a body with `count` results answers the latest call."""
+        try:
+            results = decode_stage_results(body, count)
+        except BackendError:
+            return Ownership.UNKNOWN
+        handles = [result.handle for result in results if result.handle]
+        if any(handle in self._handles for handle in handles):
+            return Ownership.FOREIGN
+        return Ownership.PROVEN if handles else Ownership.UNKNOWN
+
+    def add(self, results: list[StageItemResult]) -> None:
+        for result in results:
+            if result.handle:
+                self._handles[result.handle] = None
+        while len(self._handles) > MAX_KNOWN_HANDLES:
+            self._handles.popitem(last=False)
+
+
 async def call_stage_server(
-    pool: ConnectionPool, server: ServerState, items: list[StageItem], expected_s: float
+    pool: ConnectionPool,
+    known: KnownHandles,
+    server: ServerState,
+    items: list[StageItem],
+    expected_s: float,
 ) -> tuple[CallOutcome, list[StageItemResult]]:
     """Call a server; return the outcome and, if it answered, one result per piece."""
     request = encode_stage_call(server.server_id, server.address, items)
@@ -47,19 +86,25 @@
     try:
         async with asyncio.timeout(timeout_s):
             status, body = await pool.fetch(
-                server.address, request, MAX_RESPONSE_BYTES, reuse=True
+                server.address,
+                request,
+                MAX_RESPONSE_BYTES,
+                reuse=True,
+                identify=lambda content: known.identify(content, len(items)),
             )
         if status in OVERLOAD_STATUSES:
             return CallOutcome.FULL, []
         if status != 200:
             return CallOutcome.NOT_RUN, []
-        return CallOutcome.ANSWERED, decode_stage_results(body, len(items))
+        results = decode_stage_results(body, len(items))
     except TimeoutError:
         return CallOutcome.MAY_HAVE_RUN, []
     except BackendError as error:
         if error.may_have_run:
             return CallOutcome.MAY_HAVE_RUN, []
         return CallOutcome.NOT_RUN, []
+    known.add(results)
+    return CallOutcome.ANSWERED, results
 
 
 class SlownessEstimator:
@@ -82,3 +127,7 @@
         previous = self.estimate(server_id)
         slowness = previous + SLOWNESS_EWMA_WEIGHT * (took_s / declared_s - previous)
         self._estimates[server_id] = (slowness, self.env.clock.monotonic_s())
+
+    def keep_only(self, server_ids: set[str]) -> None:
+        for server_id in [s for s in self._estimates if s not in server_ids]:
+            del self._estimates[server_id]
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -35,6 +35,7 @@
 )
 from egretshed.stage_scheduling.calls import (
     CallOutcome,
+    KnownHandles,
     call_stage_server,
 )
 from egretshed.stage_scheduling.capacity import (
@@ -87,6 +88,7 @@
         self.capacity = StageCapacity(env, configuration, servers, self.progress)
         self._jobs: dict[JobId, ActiveJob] = {}
         self.waiting = WaitingJobs(env, self.capacity, self.progress)
+        self._known_handles = KnownHandles()
         self._tasks: set[asyncio.Task] = set()
         self._finished: OrderedDict[JobId, StageOutcome] = OrderedDict()
         self._freer = ResultFreer(env, pool, self._on_freed)
@@ -304,7 +306,9 @@
         if len(items) < len(batch):
             # A job was cancelled before its call started; the others are queued again.
             return CallOutcome.FULL, []
-        return await call_stage_server(self.pool, server, items, expected_s)
+        return await call_stage_server(
+            self.pool, self._known_handles, server, items, expected_s
+        )
 
     def _item(self, piece: ChosenPiece, now_s: float) -> StageItem:
         job = self._jobs[piece.job_id].job
--- /dev/null
+++ b/egretshed/stage_scheduling/tests/calls.feature
@@ -0,0 +1,26 @@
+Feature: Calls to stage servers
+
+  # Guards against a second copy of a response on a kept connection: its results belong to
+  # the pieces of another request. These servers do not repeat the id of a call.
+  Scenario Outline: <extra> of each response comes again after <delay_ms> ms
+    Given a stage server that sends <extra> of each response again after <delay_ms> ms
+    When 8 calls are made to it in turn, <pause_ms> ms apart
+    Then no piece got a result of another call
+    And at least <own> calls were answered
+    And the server accepted at most <connections> connections
+
+    Examples:
+      | extra     | delay_ms | pause_ms | own | connections |
+      | nothing   | 0        | 0        | 8   | 1           |
+      | the whole | 0        | 0        | 8   | 8           |
+      | the whole | 20       | 0        | 4   | 8           |
+      | the whole | 20       | 60       | 8   | 8           |
+      | the whole | 150      | 60       | 4   | 8           |
+      | half      | 20       | 0        | 4   | 8           |
+
+  # Guards against keeping a connection on which a late copy could not be recognised.
+  Scenario: Responses without results are accepted, and their connections closed
+    Given a stage server that makes no result
+    When 3 calls are made to it in turn, 0 ms apart
+    Then at least 3 calls were answered
+    And the server accepted at most 3 connections
--- /dev/null
+++ b/egretshed/stage_scheduling/tests/steps/calls_steps.py
@@ -0,0 +1,128 @@
+import asyncio
+import itertools
+import json
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.clock import SystemClock
+from egretshed.platform.stage_calls import StageItem
+from egretshed.servers.records import (
+    ListedServer,
+    ServerAddress,
+    ServerPhase,
+)
+from egretshed.servers.state import ServerState
+from egretshed.stage_scheduling.calls import (
+    CallOutcome,
+    KnownHandles,
+    call_stage_server,
+)
+from egretshed.upstream.pool import ConnectionPool
+from standins.behave_loop import run
+from standins.environments import make_environment
+
+REPEATED_SHARE = {"nothing": 0.0, "half": 0.5, "the whole": 1.0}
+
+
+def _start(context, entry, repeated_share=0.0, delay_s=0.0):
+    """Start a stage server; `entry` returns the result of a piece."""
+    context.connections = 0
+
+    async def serve(reader, writer):
+        context.connections += 1
+        late = set()
+
+        async def repeat(content):
+            await asyncio.sleep(delay_s)
+            writer.write(content)
+
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().split(b"content-length: ")[1].split()[0])
+                pieces = json.loads(await reader.readexactly(length))["entries"]
+                body = json.dumps({"entries": [entry(p) for p in pieces]}).encode()
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                answer += body
+                writer.write(answer)
+                copy = answer[: int(len(answer) * repeated_share)]
+                if delay_s == 0:
+                    writer.write(copy)
+                else:
+                    late.add(asyncio.create_task(repeat(copy)))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            for task in late:
+                task.cancel()
+            writer.close()
+
+    async def start():
+        return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+    server = run(context, start())
+    context.add_cleanup(server.close)
+    listed = ListedServer(
+        "s",
+        "stage",
+        ServerAddress("127.0.0.1", server.sockets[0].getsockname()[1]),
+        "a",
+        ServerPhase.READY,
+        1,
+    )
+    context.stage_server = ServerState(listed)
+
+
+@given("a stage server that sends {extra} of each response again after {delay_ms:d} ms")
+def start_repeating_server(context, extra, delay_ms):
+    numbers = itertools.count()
+
+    def entry(piece):
+        return {"handle": f"127.0.0.1/{piece['id']}-{next(numbers)}"}
+
+    _start(context, entry, REPEATED_SHARE[extra], delay_ms / 1000)
+
+
+@given("a stage server that makes no result")
+def start_failing_server(context):
+    _start(context, lambda piece: {"reason": "room"})
+
+
+@when("{count:d} calls are made to it in turn, {pause_ms:d} ms apart")
+def call_in_turn(context, count, pause_ms):
+    async def call():
+        pool, known = ConnectionPool(make_environment(SystemClock())), KnownHandles()
+        calls = []
+        for number in range(count):
+            item = StageItem(f"r{number}", 0, 0, 1.0, "k", ())
+            outcome, results = await call_stage_server(
+                pool, known, context.stage_server, [item, item], 0.1
+            )
+            calls.append((f"r{number}", outcome, results))
+            await asyncio.sleep(pause_ms / 1000)
+        pool.close()
+        return calls
+
+    context.calls = run(context, call())
+
+
+@then("no piece got a result of another call")
+def check_results(context):
+    for request_id, _, results in context.calls:
+        for result in results:
+            assert f"/{request_id}-" in result.handle, context.calls
+
+
+@then("at least {count:d} calls were answered")
+def check_answered(context, count):
+    answered = [c for c in context.calls if c[1] is CallOutcome.ANSWERED]
+    assert len(answered) >= count, context.calls
+
+
+@then("the server accepted at most {count:d} connections")
+def check_connections(context, count):
+    assert context.connections <= count, context.connections
--- a/egretshed/upstream/exchange.py
+++ b/egretshed/upstream/exchange.py
@@ -2,11 +2,14 @@
 
 The caller awaits the head of the response and then reads its body in chunks. A body
 that is shorter than its declared length, or whose connection was reset, raises
-`ExchangeFailed`, so that a truncated response is never taken for a complete one.
+`ExchangeFailed`, so that a truncated response is never taken for a complete one. A
+server that sends bytes without end is given up: heads have a size and a time limit,
+bodies a size limit and a least progress.
 """
 
 import asyncio
 import socket
+import time
 from collections import deque
 from collections.abc import AsyncIterator
 from typing import NamedTuple
@@ -33,6 +36,8 @@
 # Backpressure: above this much unread data, no more is read from the connection.
 READ_AHEAD_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+# Statuses below this one are interim responses, which precede the actual one.
+FIRST_FINAL_STATUS = 200
 
 
 class ExchangeFailed(BackendError):
@@ -59,11 +64,47 @@
     headers: httputil.HTTPHeaders
 
 
+class ProgressLimit(NamedTuple):
+    """Least progress of a body: `least_bytes` must arrive within each `window_s`.
+
+    A limit on silence alone would never end a body of which a byte arrives now and
+    then; a limit on the total time would cut a large body on a slow link::
+
+        ProgressLimit(window_s=1.0, least_bytes=1024)
+    """
+
+    window_s: float
+    least_bytes: int
+
+
 class ResponseTimeouts(NamedTuple):
-    """Time limits for the response head and between body chunks; None is no limit."""
+    """Limits for the response head and for the progress of the body.
+
+    None is no limit.
+    """
 
     head_s: float | None = None
-    read_s: float | None = None
+    body: ProgressLimit | None = None
+
+
+class ServerStream(IOStream):
+    """Connection to a server that can be kept between two requests."""
+
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and holds no bytes to read.
+
+        Bytes that arrive while no request is in flight belong to no request; after
+        them, the next response cannot be told from a second copy of an earlier one.
+        """
+        if self.closed() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
 
 
 class _ResponseDelegate(httputil.HTTPMessageDelegate):
@@ -83,7 +124,7 @@
         self._may_read.set()
 
     def headers_received(self, start_line, headers) -> None:
-        if start_line.code == 100 or self.head.done():
+        if start_line.code < FIRST_FINAL_STATUS or self.head.done():
             return
         self.head.set_result(ResponseHead(start_line.code, start_line.reason, headers))
 
@@ -123,7 +164,7 @@
         return chunk
 
 
-async def connect(address: str, timeout_s: float) -> IOStream:
+async def connect(address: str, timeout_s: float) -> ServerStream:
     """Connect to ``HOST:PORT``; raise `ExchangeFailed`, with nothing sent."""
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET)
@@ -132,7 +173,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    stream = IOStream(sock)
+    stream = ServerStream(sock)
     try:
         async with asyncio.timeout(timeout_s):
             await stream.connect((host, int(port)))
@@ -149,10 +190,16 @@
 
 
 class Exchange:
-    """Sends one request on `stream` and reads the response."""
+    """Sends one request on `stream` and reads the response.
 
-    def __init__(self, stream: IOStream, body_limit_bytes: int):
+    `is_reused` tells that an earlier exchange has used the connection.
+    """
+
+    def __init__(
+        self, stream: ServerStream, body_limit_bytes: int, is_reused: bool = False
+    ):
         self.stream = stream
+        self.is_reused = is_reused
         params = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES, max_body_size=body_limit_bytes
         )
@@ -207,24 +254,32 @@
             # A body without a declared length is complete only after an orderly close.
             raise ExchangeFailed("response truncated: connection reset")
 
-    async def body(self, read_s: float | None = None) -> bytes:
-        """Return the complete body; raise `ExchangeFailed` after `read_s` without data.
+    async def body(self, limit: ProgressLimit | None = None) -> bytes:
+        """Return the complete body; raise `ExchangeFailed` if it is truncated.
 
-        There is no limit on the total time, which may be long for a large body on a
-        slow link.
+        With `limit`, a body without that progress fails as well. There is no limit on
+        the total time, which may be long for a large body on a slow link.
         """
+        if limit is None:
+            return b"".join([chunk async for chunk in self.body_chunks()])
         received = []
         chunks = self.body_chunks()
+        window_end_s, window_bytes = time.monotonic() + limit.window_s, 0
         while True:
             try:
-                async with asyncio.timeout(read_s):
-                    received.append(await anext(chunks))
+                async with asyncio.timeout(window_end_s - time.monotonic()):
+                    chunk = await anext(chunks)
             except StopAsyncIteration:
                 return b"".join(received)
             except TimeoutError:
                 raise ExchangeFailed(
-                    "no further response data within the time limit"
+                    f"only {window_bytes} bytes of the body in {limit.window_s} s",
+                    may_have_run=True,
                 ) from None
+            received.append(chunk)
+            window_bytes += len(chunk)
+            if window_bytes >= limit.least_bytes:
+                window_end_s, window_bytes = time.monotonic() + limit.window_s, 0
 
     def _is_self_delimiting(self) -> bool:
         """Return whether the head declares a length or chunked encoding."""
@@ -238,11 +293,19 @@
             head is not None
             and self._delegate.end_reason == "complete"
             and self._is_self_delimiting()
-            and head.headers.get("Connection", "").lower() != "close"
-            and not self.stream.closed()
+            and "close" not in _tokens(head.headers.get("Connection", ""))
             and not self.stream.writing()
+            and self.stream.is_quiet()
         )
 
+    def keep_alive_s(self) -> float | None:
+        """Return the idle time that the server announced, or None."""
+        for token in _tokens(self._head.headers.get("Keep-Alive", "")):
+            name, _, value = token.partition("=")
+            if name == "timeout" and value.isdecimal():
+                return float(value)
+        return None
+
     def close(self) -> None:
         """Close the connection, at which the server stops work on the request."""
         self.stream.close()
@@ -255,3 +318,8 @@
         if self._reader is not None:
             await self._reader
         return self.is_reusable()
+
+
+def _tokens(value: str) -> list[str]:
+    """Return the lower-case items of a comma-separated header value."""
+    return [token.strip().lower() for token in value.split(",")]
--- a/egretshed/upstream/pool.py
+++ b/egretshed/upstream/pool.py
@@ -3,17 +3,27 @@
 A request that must not be repeated always gets a new connection. The server may have
 closed an idle one in the meantime: a request sent on it would get no response, and
 could not be sent again.
+
+A server may send a second copy of a response, even seconds later. On a reused
+connection it would be taken for the response to the next request. A connection is
+therefore kept only while each response proves to which request it belongs, by the
+request's id or by its body, and while nothing arrives in between.
 """
 
+import secrets
 from collections import defaultdict
-
-from tornado.iostream import IOStream
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
 
 from egretshed.environment import Environment
 from egretshed.upstream.exchange import (
     Exchange,
+    ExchangeFailed,
     OutgoingRequest,
+    ResponseHead,
     ResponseTimeouts,
+    ServerStream,
     connect,
 )
 
@@ -21,15 +31,39 @@
 CONNECT_TIMEOUT_S = 0.35
 # Well below the several seconds after which servers close idle connections.
 IDLE_LIMIT_S = 2.0
+# Share of the idle time announced by a server for which its connection is kept.
+ANNOUNCED_IDLE_SHARE = 0.8
 MAX_IDLE_PER_SERVER = 4
+REQUEST_ID_BYTES = 8
+
+
+class Ownership(Enum):
+    """What the body of a response tells about the request that it belongs to.
+
+    The connection is kept after `PROVEN` only; `FOREIGN` fails the request. `UNKNOWN`
+    is for a body that proves nothing, but cannot be a copy of a `PROVEN` one.
+    """
+
+    PROVEN = "proven"
+    UNKNOWN = "unknown"
+    FOREIGN = "foreign"
+
+
+class _IdleConnection(NamedTuple):
+    stream: ServerStream
+    expires_at_s: float
 
 
 class ConnectionPool:
-    """Idle connections by server address; the most recently used is reused first."""
+    """Idle connections by server address; the most recently used is reused first.
+
+    `id_header` is the name of the header in which servers repeat the id of a request.
+    """
 
-    def __init__(self, env: Environment):
+    def __init__(self, env: Environment, id_header: str = ""):
         self.env = env
-        self._idle: dict[str, list[tuple[float, IOStream]]] = defaultdict(list)
+        self.id_header = id_header
+        self._idle: dict[str, list[_IdleConnection]] = defaultdict(list)
 
     async def open(
         self, address: str, body_limit_bytes: int, reuse: bool = False
@@ -39,12 +73,13 @@
         An idle connection is used only if `reuse` is set.
         """
         stream = self._take_idle(address) if reuse else None
+        is_reused = stream is not None
         if stream is None:
             self.env.metrics.counter(
                 "server_connections_total", "Connections opened to servers"
             ).inc()
             stream = await connect(address, CONNECT_TIMEOUT_S)
-        return Exchange(stream, body_limit_bytes)
+        return Exchange(stream, body_limit_bytes, is_reused)
 
     async def fetch(
         self,
@@ -53,54 +88,91 @@
         body_limit_bytes: int,
         reuse: bool = False,
         timeouts: ResponseTimeouts = ResponseTimeouts(),
+        identify: Callable[[bytes], Ownership] | None = None,
     ) -> tuple[int, bytes]:
-        """Return the status and body of the response; raise `ExchangeFailed`."""
+        """Return the status and body of the response; raise `ExchangeFailed`.
+
+        `identify` tells what a body proves, for servers that do not repeat the id of a
+        request. Without either the connection is not kept.
+        """
+        request_id = ""
+        if reuse and self.id_header:
+            request_id = secrets.token_hex(REQUEST_ID_BYTES)
+            headers = (*request.headers, (self.id_header, request_id))
+            request = request._replace(headers=headers)
         exchange = await self.open(address, body_limit_bytes, reuse)
         try:
             exchange.send(request)
             head = await exchange.head(timeouts.head_s)
-            body = await exchange.body(timeouts.read_s)
+            body = await exchange.body(timeouts.body)
+            ownership = self._ownership(head, body, request_id, identify)
+            if ownership is Ownership.UNKNOWN and exchange.is_reused and not identify:
+                ownership = Ownership.FOREIGN
+            if ownership is Ownership.FOREIGN:
+                self.env.metrics.counter(
+                    "server_foreign_responses_total",
+                    "Responses that belong to another request or to none",
+                ).inc()
+                raise ExchangeFailed(
+                    "response belongs to another request", may_have_run=True
+                )
         except BaseException:
             exchange.close()
             raise
-        await self.put_back(address, exchange)
+        if reuse and ownership is Ownership.PROVEN:
+            await self.put_back(address, exchange)
+        else:
+            exchange.close()
         return head.status, body
 
+    def _ownership(
+        self,
+        head: ResponseHead,
+        body: bytes,
+        request_id: str,
+        identify: Callable[[bytes], Ownership] | None,
+    ) -> Ownership:
+        response_id = head.headers.get(self.id_header, "") if request_id else ""
+        if response_id:
+            is_own = response_id == request_id
+            return Ownership.PROVEN if is_own else Ownership.FOREIGN
+        return identify(body) if identify else Ownership.UNKNOWN
+
     async def put_back(self, address: str, exchange: Exchange) -> None:
         """Keep the connection of an exchange if it can be reused, else close it."""
         if not await exchange.release():
             exchange.close()
             return
-        # With a callback set, tornado detects at once that the server has closed the
-        # connection.
-        exchange.stream.set_close_callback(lambda: None)
+        idle_limit_s = IDLE_LIMIT_S
+        announced_s = exchange.keep_alive_s()
+        if announced_s is not None:
+            idle_limit_s = min(idle_limit_s, announced_s * ANNOUNCED_IDLE_SHARE)
+        expires_at_s = self.env.clock.monotonic_s() + idle_limit_s
         idle = self._idle[address]
-        idle.append((self.env.clock.monotonic_s(), exchange.stream))
+        idle.append(_IdleConnection(exchange.stream, expires_at_s))
         while len(idle) > MAX_IDLE_PER_SERVER:
-            idle.pop(0)[1].close()
+            idle.pop(0).stream.close()
 
-    def _take_idle(self, address: str) -> IOStream | None:
+    def _take_idle(self, address: str) -> ServerStream | None:
         idle = self._idle.get(address, [])
         now_s = self.env.clock.monotonic_s()
         while idle:
-            idle_since_s, stream = idle.pop()
-            if not stream.closed() and now_s - idle_since_s < IDLE_LIMIT_S:
-                return stream
-            stream.close()
+            connection = idle.pop()
+            if now_s < connection.expires_at_s and connection.stream.is_quiet():
+                return connection.stream
+            connection.stream.close()
         return None
 
     def expire(self) -> None:
-        """Close connections that were idle for longer than `IDLE_LIMIT_S`."""
+        """Close the connections that were idle for too long or have become unusable."""
         now_s = self.env.clock.monotonic_s()
         for address, idle in list(self._idle.items()):
-            kept = [
-                entry
-                for entry in idle
-                if not entry[1].closed() and now_s - entry[0] < IDLE_LIMIT_S
-            ]
-            for idle_since_s, stream in idle:
-                if (idle_since_s, stream) not in kept:
-                    stream.close()
+            kept = []
+            for connection in idle:
+                if now_s < connection.expires_at_s and connection.stream.is_quiet():
+                    kept.append(connection)
+                else:
+                    connection.stream.close()
             if kept:
                 self._idle[address] = kept
             else:
@@ -114,6 +186,6 @@
 
     def close(self) -> None:
         for idle in self._idle.values():
-            for _, stream in idle:
-                stream.close()
+            for connection in idle:
+                connection.stream.close()
         self._idle.clear()
