Answer every request of a planned stop, and measure streams by their events

Cause: at the end of a planned stop running requests were cancelled without an answer, half-read bodies were not counted as running, connections in the listener's queue were reset, and a second signal ended an entry node at once. The limits between events of a stream were reset by any byte; an event without end grew in memory. The whole time of an upload was limited by the header timeout. Change: running requests end with 503 if they provably did not run and 502 otherwise; the listener is emptied before it is closed; open connections are served a little longer and flushed; a second signal hastens this. Limits of streams run between complete events, an event has a size limit, and uploads need progress instead of an end.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -42,7 +42,10 @@
     SERVER_TABLE,
 )
 from egretshed.relay.attempt import AttemptRunner
-from egretshed.relay.runner import RelayRunner
+from egretshed.relay.runner import (
+    STOPPING_REASON,
+    RelayRunner,
+)
 from egretshed.relay.server_selection import ServerSelector
 from egretshed.relay.stages import StageRunner
 from egretshed.retries.shared_budget import SharedRetryBudget
@@ -63,8 +66,12 @@
 # Share of the shutdown limit for which a stopping node accepts new requests, since
 # callers still have its address cached.
 ACCEPT_SHARE = 0.4
-# Share of the shutdown limit after which the running requests are cancelled.
-DRAIN_SHARE = 0.93
+# Share of the shutdown limit after which the running requests are ended.
+DRAIN_SHARE = 0.9
+# Share of the shutdown limit for which requests that are already on their way are
+# answered after the listener was closed, and upper limit of that time.
+LAST_REQUESTS_SHARE = 0.04
+LAST_REQUESTS_LIMIT_S = 0.3
 # An idle node exits this long after its stop began, so that callers have time to learn
 # that they must not use its address any more.
 IDLE_EXIT_DELAY_S = 3.2
@@ -93,6 +100,8 @@
         )
         self._tasks = NodeTasks(self.env)
         self._draining = False
+        self._is_stop_hastened = False
+        self.http_servers: dict[str, RequestServer] = {}
         self.membership: MembershipService | None = None
         self._build_local_services()
 
@@ -285,7 +294,6 @@
             "directory": self.endpoints.resolve,
             "metrics": self.endpoints.metrics,
         }
-        self.http_servers: dict[str, RequestServer] = {}
         for name, sockets in self._sockets.items():
             server = RequestServer(
                 env, handlers[name], self._limits, encode_error_response
@@ -302,50 +310,76 @@
             self.servers.expire_lapsed()
 
     async def stop(self) -> int:
-        """Stop gracefully and return the number of requests that were cancelled.
+        """Stop gracefully and return the number of requests that were ended early.
 
         The node leaves the membership and ends kept-alive connections with their next
         response. It accepts requests for some more time, since callers have its address
         cached, and waits for the running ones up to a share of the shutdown limit.
+        Every request that has arrived is answered before its connection is closed.
         """
         stop_began_s = self.env.clock.monotonic_s()
-        limit_s = self.settings.bounds.shutdown_s
         self._draining = True
-        callers = self.http_servers["callers"]
-        callers.disable_keep_alive()
-        log_event(self.env.logger, "node_leaving", running=len(callers.tasks))
+        callers = self.http_servers.get("callers")
+        running = len(callers.tasks) if callers else 0
+        log_event(self.env.logger, "node_leaving", running=running)
         if self.membership is not None:
             await self.membership.leave()
-        await self._drain(stop_began_s, limit_s)
-        cancelled_count = len(callers.tasks)
-        for task in list(callers.tasks):
-            task.cancel()
+        ended_count = 0
+        if callers is not None:
+            callers.disable_keep_alive()
+            await self._drain(callers, stop_began_s)
+            ended_count = await self._answer_last_requests(callers)
         for server in self.http_servers.values():
             await server.close()
         await self.close()
-        log_event(self.env.logger, "node_stopped", requests_cut=cancelled_count)
-        return cancelled_count
+        log_event(
+            self.env.logger,
+            "node_stopped",
+            requests_cut=ended_count,
+            hastened=self._is_stop_hastened,
+        )
+        return ended_count
+
+    def hasten_stop(self) -> None:
+        """End the running requests of a stop that has begun, instead of waiting."""
+        self._is_stop_hastened = True
 
-    async def _drain(self, stop_began_s: float, limit_s: float) -> None:
-        """Wait until the node is idle or the running requests must be cancelled.
+    async def _drain(self, callers: RequestServer, stop_began_s: float) -> None:
+        """Wait until the node is idle or the running requests must be ended.
 
         New requests are refused after `ACCEPT_SHARE` of the limit.
         """
-        callers = self.http_servers["callers"]
-        while True:
+        limit_s = self.settings.bounds.shutdown_s
+        while not self._is_stop_hastened:
             await self.env.clock.sleep(DRAIN_POLL_PERIOD_S)
             elapsed_s = self.env.clock.monotonic_s() - stop_began_s
             if elapsed_s >= limit_s * DRAIN_SHARE:
                 return
             if elapsed_s >= limit_s * ACCEPT_SHARE and self.runner is not None:
-                self.runner.refusal_reason = "node_stopping"
+                self.runner.refusal_reason = STOPPING_REASON
             if (
                 elapsed_s >= IDLE_EXIT_DELAY_S
-                and not callers.tasks
+                and not callers.is_busy()
                 and not self._has_stage_jobs()
             ):
                 return
 
+    async def _answer_last_requests(self, callers: RequestServer) -> int:
+        """Answer what runs and what is on its way; return the number of ended requests.
+
+        The listener is closed first, and the open connections are served a little
+        longer: their callers may have sent a request just before.
+        """
+        ended_count = self.runner.end_running() if self.runner is not None else 0
+        callers.stop_listening()
+        limit_s = min(
+            LAST_REQUESTS_LIMIT_S,
+            LAST_REQUESTS_SHARE * self.settings.bounds.shutdown_s,
+        )
+        await self.env.clock.sleep(limit_s)
+        await callers.flush(limit_s)
+        return ended_count
+
     def _has_stage_jobs(self) -> bool:
         return bool(self.stage_owner.has_work())
 
--- a/egretshed/daemon/main.py
+++ b/egretshed/daemon/main.py
@@ -22,7 +22,8 @@
 class RunnableNode(Protocol):
     """Node that the daemon starts and stops.
 
-    `stop` returns the number of requests that were cancelled.
+    `stop` returns the number of requests that were ended early. A node may also have
+    `hasten_stop`, which ends a stop that has begun as soon as all are answered.
     """
 
     async def start(self) -> None: ...
@@ -106,6 +107,11 @@
     )
     if not start_task.done():
         start_task.cancel()
+        await asyncio.wait({start_task})
+        if hasattr(node, "hasten_stop"):
+            # The listeners may be open, so that requests may be on their way.
+            node.hasten_stop()
+            await node.stop()
         return ExitStatus.SUCCESS
     start_task.result()
     end_tasks = {stop_signal_task}
@@ -120,6 +126,9 @@
     stop_task = asyncio.create_task(node.stop())
     force_task = asyncio.create_task(force_stop.wait())
     await asyncio.wait({stop_task, force_task}, return_when=asyncio.FIRST_COMPLETED)
+    if not stop_task.done() and hasattr(node, "hasten_stop"):
+        node.hasten_stop()
+        await asyncio.wait({stop_task})
     if stop_task.done():
         return ExitStatus.FAILED if stop_task.result() else ExitStatus.SUCCESS
     stop_task.cancel()
--- a/egretshed/daemon/tests/steps/entry_node_steps.py
+++ b/egretshed/daemon/tests/steps/entry_node_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import signal
+import time
 
 from behave import (
     given,
@@ -22,6 +23,12 @@
 SERVER_MODES = {
     "are well": "ok",
     "is full": "full",
+    "hang": "hang",
+    "drip": "drip",
+    "drips": "drip",
+    "sends an event without end": "endless",
+    "send an event without end": "endless",
+    "are slow": "slow",
     "are full": "full",
     "fail": "error",
     "lose inputs once": "gone",
@@ -65,7 +72,9 @@
 
 @when('request "{request_id}" to {path} is sent')
 def send(context, request_id, path):
+    began_s = time.monotonic()
     context.response = run(context, context.fleet.request("node-0", path, request_id))
+    context.response_s = time.monotonic() - began_s
 
 
 @when('request "{request_id}" to {path} is sent with key "{key}"')
--- /dev/null
+++ b/egretshed/daemon/tests/steps/streams_steps.py
@@ -0,0 +1,141 @@
+import asyncio
+import time
+from pathlib import Path
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from standins.behave_loop import run
+from standins.users_platform.fleet import (
+    HOST,
+    make_platform_configuration,
+)
+from standins.users_platform.store import OPERATOR_TABLE
+
+CONFIGURATION_DELAY_S = 1.5
+GIVE_UP_S = 12.0
+NODE = "node-0"
+HEAD = (
+    b"POST /book/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: up\r\n"
+    b"Authorization: Token key-1\r\nDeadline-Ms: 5000\r\n"
+)
+
+
+def _memory_mb(context) -> float:
+    pid = context.fleet.processes[NODE].pid
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * 4096 / 1e6
+
+
+@then("the response took at most {most_s:g} s")
+def took(context, most_s):
+    assert context.response_s <= most_s, context.response_s
+
+
+@when('{count:d} requests to {path} are sent to "node-0" at once')
+def send_at_once(context, count, path):
+    async def send():
+        context.memory_mb = peak_mb = _memory_mb(context)
+        requests = [context.fleet.request(NODE, path, f"m{n}") for n in range(count)]
+        sending = asyncio.gather(*requests)
+        while not sending.done():
+            peak_mb = max(peak_mb, _memory_mb(context))
+            await asyncio.sleep(0.02)
+        await sending
+        context.peak_mb = peak_mb
+
+    run(context, send())
+
+
+@then("its memory grew by at most {most_mb:d} MB")
+def memory_grew(context, most_mb):
+    assert context.peak_mb - context.memory_mb <= most_mb, context.peak_mb
+
+
+@given(
+    "the limits of callers are {header:d} header bytes, {body:d} body bytes and"
+    " {time_s:g} s"
+)
+def set_limits(context, header, body, time_s):
+    limits = {
+        "max_header_bytes": header,
+        "max_body_bytes": body,
+        "header_timeout_ms": int(time_s * 1000),
+        "idle_timeout_ms": int(time_s * 1000),
+    }
+    configuration = make_platform_configuration(2, limits=limits)
+    context.fleet.store.put_json(OPERATOR_TABLE, "config", configuration)
+    run(context, asyncio.sleep(CONFIGURATION_DELAY_S))
+
+
+def _parts(part: str, size: int) -> tuple[bytes, bytes]:
+    """Return what is sent once and what is sent again and again."""
+    return {
+        "header lines": (HEAD, b"X-F: " + b"y" * max(1, size - 7) + b"\r\n"),
+        "a chunked body": (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"%x\r\n%s\r\n" % (size, b"z" * size),
+        ),
+        "a sized body": (HEAD + b"Content-Length: 9000\r\n\r\n", b"z" * size),
+        "nothing": (b"", b""),
+    }[part]
+
+
+@when('a caller sends {part} to "node-0", {size:d} bytes each {pace_ms:d} ms')
+def send_without_end(context, part, size, pace_ms):
+    first, repeated = _parts(part, size)
+
+    async def send():
+        context.memory_mb = context.peak_mb = _memory_mb(context)
+        reader, writer = await asyncio.open_connection(
+            HOST, context.fleet.ports[NODE][0]
+        )
+        began_s = time.monotonic()
+
+        async def send_all():
+            writer.write(first)
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+                context.peak_mb = max(context.peak_mb, _memory_mb(context))
+                await asyncio.sleep(pace_ms / 1000)
+
+        sending = asyncio.create_task(send_all())
+        try:
+            async with asyncio.timeout(GIVE_UP_S):
+                while await reader.read(1024):
+                    pass
+        except (ConnectionError, TimeoutError):
+            pass
+        context.closed_s = time.monotonic() - began_s
+        sending.cancel()
+        await asyncio.wait({sending})
+        writer.close()
+
+    run(context, send())
+
+
+@then("its connection is closed within {most_s:g} s")
+def closed_within(context, most_s):
+    assert context.closed_s <= most_s, context.closed_s
+
+
+@when('a caller uploads {size:d} bytes to "node-0", {step:d} bytes each {pace_ms:d} ms')
+def send_slowly(context, size, step, pace_ms):
+    async def send():
+        reader, writer = await asyncio.open_connection(
+            HOST, context.fleet.ports[NODE][0]
+        )
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+        for _ in range(size // step):
+            writer.write(b"z" * step)
+            await writer.drain()
+            await asyncio.sleep(pace_ms / 1000)
+        line = await reader.readline()
+        context.outcome = line.decode().split(" ")[1] if line else "no answer"
+        writer.close()
+
+    run(context, send())
--- /dev/null
+++ b/egretshed/daemon/tests/streams.feature
@@ -0,0 +1,52 @@
+Feature: Streams end when they stall, and only then
+
+  # Guards against a stream that never ends because a byte arrives now and then, and
+  # against one that is cut although its events arrive within the route's limits.
+  Scenario Outline: A stream of <path>, servers: <trouble>
+    Given 3 entry nodes and 2 servers of each service
+    And of the servers of "engine", <trouble>
+    When request "r1" to <path> is sent
+    Then the caller receives status <status> within its deadline
+    And the response took at most <most_s> s
+    And the servers of "engine" executed it <ran> times
+
+    Examples:
+      | path      | trouble                        | status | most_s | ran |
+      | /digest/x | all are slow                   | 200    | 4      | 1   |
+      | /ask/x    | all are slow                   | 200    | 4      | 1   |
+      | /digest/x | one drips                      | 200    | 2.6    | any |
+      | /digest/x | one sends an event without end | 200    | 2.6    | any |
+      | /digest/x | all send an event without end  | 502    | 3      | 2   |
+      | /ask/x    | all send an event without end  | 502    | 2      | 1   |
+      | /ask/x    | all drip                       | 599    | 4.5    | 1   |
+
+  # Guards against memory that grows with the bytes of a server in trouble.
+  Scenario: Servers send events without end to several callers
+    Given 3 entry nodes and 2 servers of each service
+    And of the servers of "engine", all send an event without end
+    When 8 requests to /ask/x are sent to "node-0" at once
+    Then its memory grew by at most 60 MB
+
+  # Guards against callers whose bytes take memory or hold a connection without end.
+  Scenario Outline: A caller sends <part> without end, <size> bytes each <pace_ms> ms
+    Given 3 entry nodes and 2 servers of each service
+    And the limits of callers are 1000 header bytes, 20000 body bytes and 1 s
+    When a caller sends <part> to "node-0", <size> bytes each <pace_ms> ms
+    Then its connection is closed within <most_s> s
+    And its memory grew by at most 20 MB
+
+    Examples:
+      | part           | size | pace_ms | most_s |
+      | header lines   | 500  | 0       | 2      |
+      | header lines   | 15   | 50      | 3      |
+      | a chunked body | 8000 | 0       | 2      |
+      | a chunked body | 1    | 50      | 3      |
+      | a sized body   | 1    | 50      | 3      |
+      | nothing        | 1    | 50      | 3      |
+
+  # Guards against a slow upload that is cut although it makes progress.
+  Scenario: A caller sends its body slowly
+    Given 3 entry nodes and 2 servers of each service
+    And the limits of callers are 1000 header bytes, 20000 body bytes and 1 s
+    When a caller uploads 6000 bytes to "node-0", 600 bytes each 300 ms
+    Then it is answered with 200
--- a/egretshed/ingress/server.py
+++ b/egretshed/ingress/server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import (
     Awaitable,
     Callable,
@@ -12,8 +13,12 @@
 from typing import NamedTuple
 
 from tornado import httputil
+from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
-from tornado.iostream import StreamClosedError
+from tornado.iostream import (
+    IOStream,
+    StreamClosedError,
+)
 
 from egretshed.environment import Environment
 from egretshed.errors import (
@@ -27,6 +32,10 @@
 # A body over the declared limit gets status 413; one over this many times the limit
 # closes the connection.
 HARD_BODY_LIMIT_FACTOR = 4
+# A body must make progress of this many bytes within each idle timeout. A limit on the
+# whole time would cut a large body on a slow link.
+MIN_BODY_PROGRESS_BYTES = 1024
+FLUSH_POLL_PERIOD_S = 0.01
 REASON_PHRASES = httputil.responses
 
 
@@ -109,11 +118,15 @@
         self.start_line: httputil.RequestStartLine | None = None
         self.headers = httputil.HTTPHeaders()
         self.received_s = 0.0
+        self._progress_timer: asyncio.TimerHandle | None = None
+        self._counted_bytes = 0
 
     def headers_received(self, start_line, headers) -> None:
         self.start_line = start_line
         self.headers = headers
         self.received_s = self.server.env.clock.monotonic_s()
+        self.server.receiving.add(self)
+        self._await_progress()
         length = headers.get("Content-Length", "0")
         if length.isdecimal() and int(length) > self.server.limits().body_bytes:
             self._reject_body_size()
@@ -125,11 +138,37 @@
         elif not self.reply.is_started:
             self.chunks.append(chunk)
 
+    def _await_progress(self) -> None:
+        self._counted_bytes = self.size_bytes
+        self._progress_timer = asyncio.get_running_loop().call_later(
+            self.server.limits().idle_timeout_s, self._check_progress
+        )
+
+    def _check_progress(self) -> None:
+        received_bytes = self.size_bytes - self._counted_bytes
+        if received_bytes >= MIN_BODY_PROGRESS_BYTES:
+            self._await_progress()
+            return
+        log_event(
+            self.server.env.logger,
+            "request_body_stalled",
+            received_bytes=self.size_bytes,
+            progress_bytes=received_bytes,
+            window_s=self.server.limits().idle_timeout_s,
+        )
+        self.reply.abort()
+
+    def _end_receiving(self) -> None:
+        self.server.receiving.discard(self)
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+
     def _reject_body_size(self) -> None:
         if not self.reply.is_started:
             self.reply.start(*self.server.error_response(BodyTooLarge()))
 
     def finish(self) -> None:
+        self._end_receiving()
         if self.reply.is_started:
             return
         self.connection.set_close_callback(self.reply.disconnected.set)
@@ -144,6 +183,7 @@
         self.server.spawn(request, self.reply)
 
     def on_connection_close(self) -> None:
+        self._end_receiving()
         self.reply.disconnected.set()
 
 
@@ -151,7 +191,8 @@
     """HTTP server of one listener.
 
     `limits` returns the limits in force; `error_response` returns status, headers and
-    body for an error.
+    body for an error. `tasks` handle the requests that were received completely, and
+    `receiving` holds those of which only a part has arrived.
     """
 
     def __init__(
@@ -166,16 +207,19 @@
         self.limits = limits
         self.error_response = error_response
         self.tasks: set[asyncio.Task] = set()
+        self.receiving: set[_RequestDelegate] = set()
+        self._connections: set[HTTP1ServerConnection] = set()
+        self._sockets: list[socket.socket] = []
         initial = limits()
         self._server = HTTPServer(
             self,
             max_header_size=initial.header_bytes,
             max_body_size=initial.body_bytes * HARD_BODY_LIMIT_FACTOR,
             idle_connection_timeout=initial.idle_timeout_s,
-            body_timeout=initial.header_timeout_s,
         )
 
     def listen(self, sockets: list) -> None:
+        self._sockets += sockets
         self._server.add_sockets(sockets)
 
     def apply_limits(self) -> None:
@@ -185,13 +229,17 @@
         params.max_header_size = limits.header_bytes
         params.max_body_size = limits.body_bytes * HARD_BODY_LIMIT_FACTOR
         params.header_timeout = limits.idle_timeout_s
-        params.body_timeout = limits.header_timeout_s
 
     def start_request(self, server_conn, request_conn) -> _RequestDelegate:
+        self._connections.add(server_conn)
         return _RequestDelegate(self, request_conn)
 
     def on_close(self, server_conn) -> None:
-        """Do nothing; tornado requires this method, and replies detect the close."""
+        self._connections.discard(server_conn)
+
+    def is_busy(self) -> bool:
+        """Return whether any request is being received or handled."""
+        return bool(self.tasks or self.receiving)
 
     def spawn(self, request: IncomingRequest, reply: Reply) -> None:
         task = asyncio.create_task(self._handle(request, reply))
@@ -213,8 +261,29 @@
         self._server.conn_params.no_keep_alive = True
 
     def stop_listening(self) -> None:
+        """Close the listener; connections that callers have opened are still served.
+
+        Closing a listener resets the connections that were not accepted yet.
+        """
+        for listener in self._sockets:
+            while True:
+                try:
+                    connection, address = listener.accept()
+                except OSError:  # none is left
+                    break
+                self._server.handle_stream(IOStream(connection), address)
+        self._sockets.clear()
         self._server.stop()
 
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until all responses are written, for `timeout_s` at most."""
+        clock = self.env.clock
+        end_s = clock.monotonic_s() + timeout_s
+        while clock.monotonic_s() < end_s:
+            if not any(c.stream.writing() for c in self._connections):
+                return
+            await clock.sleep(FLUSH_POLL_PERIOD_S)
+
     async def close(self) -> None:
         """Stop listening and close all connections, including idle ones."""
         self._server.stop()
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -46,7 +46,9 @@
 )
 from egretshed.upstream.pool import ConnectionPool
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+# Responses that are not streams are kept in memory until they are complete.
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 # Retry-After of requests that no server could take.
 RETRY_AFTER_S = 0.25
 # A repeatable request gives up on a server that has not responded within this multiple
@@ -207,7 +209,8 @@
             server.record_response(False, now_s)
 
     async def _send(self, state: RequestState, server: ServerState) -> Exchange:
-        exchange = await self.pool.open(server.address, MAX_RESPONSE_BYTES)
+        limit_bytes = MAX_STREAM_BYTES if state.route.is_stream else MAX_BUFFERED_BYTES
+        exchange = await self.pool.open(server.address, limit_bytes)
         now_s = self.env.clock.monotonic_s()
         fields = ForwardFields(
             server_id=server.server_id,
@@ -260,7 +263,8 @@
                 may_have_run=True,
             )
         if not state.route.is_stream or not response.is_success:
-            await self._relay_buffered(state, server, exchange, response, start_s)
+            body = await self._with_timeout(timeout_s, exchange.body())
+            self._relay_buffered(state, server, response, body, start_s)
             return
         await self._relay_stream(state, server, exchange, response, placement)
 
@@ -275,15 +279,14 @@
                 server.backoff_until_s, now_s + REFUSAL_BACKOFF_S
             )
 
-    async def _relay_buffered(
+    def _relay_buffered(
         self,
         state: RequestState,
         server: ServerState,
-        exchange: Exchange,
-        response,
-        start_s,
+        response: ServerResponse,
+        body: bytes,
+        start_s: float,
     ) -> None:
-        body = await exchange.body()
         now_s = self.env.clock.monotonic_s()
         self._check_response(response, state)
         failed = response.status >= SERVER_ERROR_STATUS
@@ -329,13 +332,22 @@
         response,
         placement,
     ) -> None:
+        """Relay events as they arrive.
+
+        The time limits are those between complete events: bytes that complete no event
+        are no progress.
+        """
         self._check_response(response, state)
+        clock = self.env.clock
         splitter = EventSplitter()
         pieces = exchange.body_chunks()
-        timeout_s = self._first_event_timeout_s(state)
+        timeout_s, since_s = self._first_event_timeout_s(state), clock.monotonic_s()
         while True:
+            left_s = None
+            if timeout_s is not None:
+                left_s = max(0.0, since_s + timeout_s - clock.monotonic_s())
             try:
-                chunk = await self._with_timeout(timeout_s, anext(pieces))
+                chunk = await self._with_timeout(left_s, anext(pieces))
             except StopAsyncIteration:
                 break
             events = splitter.feed(chunk)
@@ -343,7 +355,7 @@
                 continue
             await self._forward(state, response, events, placement)
             state.last_event_id = splitter.last_event_id or state.last_event_id
-            timeout_s = self._event_gap_timeout_s(state)
+            timeout_s, since_s = self._event_gap_timeout_s(state), clock.monotonic_s()
         if splitter.remainder():
             await self._forward(state, response, splitter.remainder(), placement)
         if not state.reply.is_started:
--- a/egretshed/relay/events.py
+++ b/egretshed/relay/events.py
@@ -2,10 +2,23 @@
 
 import re
 
+from egretshed.errors import BackendError
+
+# A longer event is none: the server sends bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
+# Bytes before new data in which an event may have begun to end.
+MAX_EVENT_END_BYTES = 4
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+class EventTooLong(BackendError):
+    """A server sent `MAX_EVENT_BYTES` of an event without its end."""
+
+    code = "event_too_long"
+
+
 class EventSplitter:
     """Buffers bytes and returns them as complete events.
 
@@ -18,12 +31,20 @@
         self.last_event_id = ""
 
     def feed(self, chunk: bytes) -> bytes:
-        """Append `chunk` to the buffer; remove and return all complete events."""
+        """Append `chunk` to the buffer; remove and return all complete events.
+
+        Raises `EventTooLong` if what remains is too long for an event.
+        """
+        searched = max(0, len(self._buffer) - MAX_EVENT_END_BYTES)
         self._buffer += chunk
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, searched):
             end = match.end()
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong(
+                f"event has more than {MAX_EVENT_BYTES} bytes", may_have_run=True
+            )
         ids = _ID_LINE.findall(complete)
         if ids:
             self.last_event_id = ids[-1].decode("latin1")
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -46,6 +46,7 @@
 # Retry-After of refusals whose cause gives no better value.
 RETRY_AFTER_S = 0.3
 NOT_READY_RETRY_AFTER_S = 0.5
+STOPPING_REASON = "node_stopping"
 # Results that expired, or whose server has left, can be produced again.
 LOST_RESULT_REASONS = frozenset({PieceFailure.INPUT_GONE.value, "results_gone"})
 # With less time than this left, the stages are not run again.
@@ -72,8 +73,9 @@
         self.stages = stages
         self.attempts = attempts
         self.budget = budget
-        self.running: dict[int, RequestState] = {}
         self.refusal_reason = ""
+        self._serving: set[asyncio.Task] = set()
+        self._is_ending = False
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
         """Serve one request; it ends with exactly one response or an aborted reply."""
@@ -81,7 +83,6 @@
         state: RequestState | None = None
         try:
             state = self._accept(request, reply)
-            self.running[id(state)] = state
             await self._serve_until_disconnect(state)
             state.outcome = state.outcome or "answered"
         except CallerGone:
@@ -99,8 +100,6 @@
             self._set_outcome(state, "failed", "internal")
             self._refuse(reply, RequestFailed("internal error", reason="internal"))
         finally:
-            if state is not None:
-                self.running.pop(id(state), None)
             self._record_outcome(request, state, reply)
 
     def _accept(self, request: CallerRequest, reply: Reply) -> RequestState:
@@ -140,6 +139,8 @@
     async def _serve_until_disconnect(self, state: RequestState) -> None:
         """Serve until done, the deadline passes or the caller disconnects."""
         serving = asyncio.create_task(self._serve_with_deadline(state))
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
         disconnected = asyncio.create_task(state.reply.disconnected.wait())
         try:
             await asyncio.wait(
@@ -147,6 +148,8 @@
             )
             if not serving.done():
                 raise CallerGone()
+            if serving.cancelled() and self._is_ending:
+                raise self._stop_error(state)
             serving.result()
         finally:
             disconnected.cancel()
@@ -154,6 +157,26 @@
                 serving.cancel()
                 await asyncio.wait({serving})
 
+    def end_running(self) -> int:
+        """End all running requests with a final answer; return their number.
+
+        Further requests are refused. A request that may have run is answered as failed;
+        a stream that has begun is cut.
+        """
+        self.refusal_reason = self.refusal_reason or STOPPING_REASON
+        self._is_ending = True
+        for serving in self._serving:
+            serving.cancel()
+        return len(self._serving)
+
+    def _stop_error(self, state: RequestState) -> EgretshedError:
+        message = "this node has stopped"
+        if state.may_have_run:
+            return RequestFailed(message, reason=STOPPING_REASON)
+        return NotRun(
+            message, reason=STOPPING_REASON, retry_after_s=NOT_READY_RETRY_AFTER_S
+        )
+
     async def _serve_with_deadline(self, state: RequestState) -> None:
         remaining_s = state.remaining_s(self.env.clock.monotonic_s())
         try:
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -21,6 +21,10 @@
 _HANDLE_NUMBERS = itertools.count(1)
 # Handles of the results that the stage servers of this process hold for engines.
 STORED_RESULTS: set[str] = set()
+DRIP_S = 0.1
+DRIP_EVENTS = 2
+SLOW_EVENT_S = 0.55
+ENDLESS_CHUNK_BYTES = 16 * 1024
 
 
 @dataclass
@@ -36,6 +40,9 @@
     - ``cut``: runs the request and closes the connection within the event stream.
     - ``other``: responds with 421, as for a request meant for another server.
     - ``gone``: reports missing inputs the first time that a piece is run.
+    - ``drip``: sends two events and then a byte each 0.1 s, without end.
+    - ``endless``: sends an event without end as fast as it is read.
+    - ``slow``: sends its events `SLOW_EVENT_S` apart, each in two parts.
 
     `run_counts` is by request ID, `piece_run_counts` by (request ID, stage, segment).
     """
@@ -123,6 +130,17 @@
         try:
             for number in range(first, state.events + 1):
                 await asyncio.sleep(state.event_s)
+                if state.mode == "endless":
+                    await self._send_without_end(b"d" * ENDLESS_CHUNK_BYTES, 0)
+                if state.mode == "drip" and number > DRIP_EVENTS:
+                    await self._send_without_end(b":", DRIP_S)
+                if state.mode == "slow":
+                    self.write(f"id: {number}\n")
+                    await self.flush()
+                    await asyncio.sleep(SLOW_EVENT_S)
+                    self.write(f"data: {request_id}\n\n")
+                    await self.flush()
+                    continue
                 if state.mode == "cut" and number == state.events - 1:
                     self.write(f"id: {number}\nda")
                     await self.flush()
@@ -133,6 +151,12 @@
         except StreamClosedError:
             state.disconnected.add(request_id)
 
+    async def _send_without_end(self, content: bytes, pause_s: float) -> None:
+        while True:
+            self.write(content)
+            await self.flush()
+            await asyncio.sleep(pause_s)
+
     def on_connection_close(self) -> None:
         self.state.disconnected.add(self.request.headers.get("Request-Id", ""))
 
