Give fleet-wide duties to the VMs that can carry them

Change: the weight falls with the twelfth power, and a VM of one core is no longer enough for any duty. Rankings are cached until the members change.

--- a/egretshed/membership/duty_owners.py
+++ b/egretshed/membership/duty_owners.py
@@ -3,11 +3,12 @@
 A duty is a task that one or a few nodes perform for the whole fleet, such as reading
 the store or placing the requests of a service; its name is the hash key.
 
-Load pattern: the VMs of a fleet differ in cores and link speed, and a fleet-wide duty
-would overload a small one. The probability of a node to be selected grows with the
-square of its capacity. A node that did not reply in time is skipped for a short time.
-Nodes with different member views may select different owners; this costs efficiency,
-never correctness.
+Load pattern: a burst on a fleet of which most VMs are small. A fleet-wide duty takes
+the better part of a core then, and a small owner would delay the requests of all nodes.
+The probability of a node to be selected falls so steeply with its capacity that many
+small VMs together own hardly any duty beside a few that can perform it. A node that did
+not reply in time is skipped for a short time. Nodes with different member views may
+select different owners; this costs efficiency, never correctness.
 """
 
 import math
@@ -26,17 +27,20 @@
 # the nodes discover each other.
 JOIN_DURATION_S = 4.0
 # A VM with at least these resources can perform any duty at present fleet sizes.
-FULL_WEIGHT_CORES = 1.0
+FULL_WEIGHT_CORES = 2.0
 FULL_WEIGHT_LINK_MBPS = 100.0
+# With half of these resources a VM is selected 4,096 times less often.
+WEIGHT_EXPONENT = 12
+MIN_SHARE = 0.001
 HASH_RANGE = 2.0**64
 
 
 def capacity_weight(vm: ListedVm | None) -> float:
-    """Return the squared share of the resources for any duty that a VM has, up to 1."""
+    """Return the weight of a VM, 1 if it has the resources for any duty."""
     if vm is None:
         return 1.0
     share = min(vm.cores / FULL_WEIGHT_CORES, vm.link_mbps / FULL_WEIGHT_LINK_MBPS, 1.0)
-    return max(0.001, share) ** 2
+    return max(MIN_SHARE, share) ** WEIGHT_EXPONENT
 
 
 def rank_nodes(duty: str, weights: dict[str, float]) -> list[str]:
@@ -57,17 +61,41 @@
         self.membership = membership
         self._started_s = env.clock.monotonic_s()
         self._avoid_until_s: dict[str, float] = {}
+        # Weights of the usable nodes and rankings by duty, valid for `_ranked_for`.
+        self._ranked_for: tuple | None = None
+        self._weights: dict[str, float] = {}
+        self._rankings: dict[str, list[str]] = {}
 
     def ranked(self, duty: str) -> list[str]:
         """Return the nodes that may own a duty, in order of preference."""
         now_s = self.env.clock.monotonic_s()
+        is_joining = now_s - self._started_s < JOIN_DURATION_S
+        avoided = self._avoided(now_s)
+        state = (self.membership.revision, is_joining, avoided)
+        if state != self._ranked_for:
+            self._ranked_for = state
+            self._weights = self._usable_weights(is_joining, avoided)
+            self._rankings.clear()
+        ranking = self._rankings.get(duty)
+        if ranking is None:
+            ranking = self._rankings[duty] = rank_nodes(duty, self._weights)
+        return ranking
+
+    def _avoided(self, now_s: float) -> frozenset[str]:
+        for node_id, until_s in list(self._avoid_until_s.items()):
+            if now_s >= until_s:
+                del self._avoid_until_s[node_id]
+        return frozenset(self._avoid_until_s)
+
+    def _usable_weights(
+        self, is_joining: bool, avoided: frozenset[str]
+    ) -> dict[str, float]:
         found = {m.node_id for m in self.membership.reachable() if not m.leaving}
-        if now_s - self._started_s < JOIN_DURATION_S:
+        if is_joining:
             found |= self._unknown_listed_nodes()
-        usable = {n for n in found if now_s >= self._avoid_until_s.get(n, 0.0)}
-        usable.add(self.env.identity.node_id)
+        usable = (found - avoided) | {self.env.identity.node_id}
         listed = self.membership.listed_vm
-        return rank_nodes(duty, {n: capacity_weight(listed(n)) for n in usable})
+        return {n: capacity_weight(listed(n)) for n in usable}
 
     def _unknown_listed_nodes(self) -> set[str]:
         return {
--- a/egretshed/membership/tests/steps/owner_steps.py
+++ b/egretshed/membership/tests/steps/owner_steps.py
@@ -31,6 +31,26 @@
         context.weights[name] = capacity_weight(vm)
 
 
+@given(
+    "{large:d} VMs of {large_cores:g} cores and {large_link:g} Mbit/s, and {small:d} of"
+    " {cores:g} and {link:g}"
+)
+def large_and_small_vms(context, large, large_cores, large_link, small, cores, link):
+    context.weights = {}
+    kinds = (("large", large, large_cores, large_link), ("small", small, cores, link))
+    for kind, count, cores_each, link_each in kinds:
+        for number in range(count):
+            vm = ListedVm(f"{kind}-{number}", "entry", "h", 1, 2, "a", "r", False)
+            vm = vm._replace(cores=cores_each, link_mbps=link_each)
+            context.weights[vm.node_id] = capacity_weight(vm)
+
+
+@then("the small VMs own at most {most:d} of them")
+def small_vms_own(context, most):
+    owned = [o for o in context.owners.values() if o.startswith("small")]
+    assert len(owned) <= most, len(owned)
+
+
 def _owners(weights):
     return {n: rank_nodes(f"duty-{n}", weights)[0] for n in range(200)}
 
@@ -108,6 +128,8 @@
         self.known = known
         self.gone = gone
 
+    revision = 0
+
     def listed(self):
         return [ListedVm(name, "entry", "h", 1, 2, "a", "r") for name in self.names]
 
