Spare the node that batches the stages work that decides nothing

Cause: each end of a call built a view of every server of three services, summed all results that each holds, and did so again for each call that it started. The registry indexed all servers again for each entry of the list. Half of the time of a log line went into finding its source position. Change: totals of result memory are kept, views are built only if a server is free, throughput is kept for 50 ms, the index is updated in place, and log lines have no source position.

--- a/egretshed/logs.py
+++ b/egretshed/logs.py
@@ -17,6 +17,13 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+# The lines hold neither source position nor thread nor process; finding the position
+# takes half of the time of a line.
+logging._srcfile = None
+logging.logThreads = False
+logging.logProcesses = False
+logging.logMultiprocessing = False
+
 REDACTED_FIELDS = frozenset({"key", "customer_key", "operator_key", "authorization"})
 
 # Token bucket of the output: sustained rate and burst.
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -53,6 +53,7 @@
         if server is None or not is_same:
             if server is not None:
                 server.is_gone = True
+                self._by_service[server.listed.service].pop(server.server_id, None)
             server = ServerState(listed)
             self.servers[listed.server_id] = server
             self._log_change(listed, "listed", is_same)
@@ -65,7 +66,7 @@
             server.cold_until_s = now_s + listed.cold_s
         elif server.is_cold(now_s):
             server.cold_until_s = now_s
-        self._index_by_service()
+        self._by_service.setdefault(listed.service, {})[server.server_id] = server
 
     def remove(self, server_id: str) -> None:
         """Remove a server whose entry was removed, or mark it as lapsed."""
@@ -89,14 +90,8 @@
     def _remove_server(self, server: ServerState) -> None:
         server.is_gone = True
         self.servers.pop(server.server_id, None)
+        self._by_service[server.listed.service].pop(server.server_id, None)
         self._log_change(server.listed, "gone", True)
-        self._index_by_service()
-
-    def _index_by_service(self) -> None:
-        self._by_service = {}
-        for server in self.servers.values():
-            servers_by_id = self._by_service.setdefault(server.listed.service, {})
-            servers_by_id[server.server_id] = server
 
     def of_service(self, service: str) -> Iterable[ServerState]:
         """Return all listed servers of a service, whether they may get work or not."""
--- a/egretshed/stage_scheduling/capacity.py
+++ b/egretshed/stage_scheduling/capacity.py
@@ -1,10 +1,12 @@
 """Capacity of the stage servers as tracked by the node that batches for them."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 
 from egretshed.environment import Environment
 from egretshed.servers.registry import ServerRegistry
+from egretshed.servers.state import ServerState
 from egretshed.serving.schema import (
     ServingConfiguration,
     StageLimits,
@@ -20,6 +22,9 @@
 
 # A server that refused a call gets no other one for this time.
 REFUSAL_PAUSE_S = 0.08
+# Time for which the throughput of a service is kept: it changes with the servers and
+# their speed, and is needed for each decision.
+THROUGHPUT_TTL_S = 0.05
 
 
 class StageCapacity:
@@ -40,6 +45,8 @@
         self.slowness = SlownessEstimator(env)
         self._calls: dict[str, int] = defaultdict(int)
         self._pause_until_s: dict[str, float] = {}
+        # Time of the calculation and throughput in pieces per second, by service.
+        self._throughputs: dict[str, tuple[float, float]] = {}
 
     def limits(self, service: str) -> StageLimits | None:
         """Return the declared limits of a stage service, or None if it has none."""
@@ -47,38 +54,68 @@
         declared = configuration and configuration.services.get(service)
         return declared.stage if declared else None
 
+    def has_free_server(self, service: str, limits: StageLimits) -> bool:
+        """Return whether any listed server of a service runs fewer calls than it may.
+
+        This is quick, and rules out a dispatch in most cases while servers are busy.
+        """
+        return any(
+            self._calls[server.server_id] < limits.slots
+            for server in self.servers.of_service(service)
+        )
+
     def views(self, service: str, limits: StageLimits) -> list[StageServerView]:
         """Return the usable servers that did not refuse a call a moment ago."""
         now_s = self.env.clock.monotonic_s()
         return [
-            StageServerView(
-                server.server_id,
-                server.failure_domain,
-                self.ledger.available_bytes(
-                    server.server_id, limits.result_capacity_bytes
-                ),
-                self._calls[server.server_id],
-                self.slowness.estimate(server.server_id),
-            )
+            self.view(server, limits)
             for server in self.servers.usable(service)
             if now_s >= self._pause_until_s.get(server.server_id, 0.0)
         ]
 
+    def view(self, server: ServerState, limits: StageLimits) -> StageServerView:
+        server_id = server.server_id
+        return StageServerView(
+            server_id,
+            server.failure_domain,
+            self.ledger.available_bytes(server_id, limits.result_capacity_bytes),
+            self._calls[server_id],
+            self.slowness.estimate(server_id),
+        )
+
     def load(self, service: str) -> ServiceLoad | None:
         """Return a service's throughput and pending pieces, or None if unknown."""
         limits = self.limits(service)
         if limits is None:
             return None
+        return ServiceLoad(
+            pieces_per_s=self._pieces_per_s(service, limits),
+            call_s=call_time_s(limits, limits.batch_items),
+            pending_pieces=self.progress.pending_pieces(service),
+        )
+
+    def _pieces_per_s(self, service: str, limits: StageLimits) -> float:
+        now_s = self.env.clock.monotonic_s()
+        calculated_at_s, pieces_per_s = self._throughputs.get(service, (-math.inf, 0.0))
+        if now_s - calculated_at_s < THROUGHPUT_TTL_S:
+            return pieces_per_s
         # If no server is usable all are counted: most servers that have just failed
         # are usable again before the work reaches them.
         servers = self.servers.usable(service) or self.servers.of_service(service)
-        call_s = call_time_s(limits, limits.batch_items)
         speed = sum(1 / self.slowness.estimate(s.server_id) for s in servers)
-        return ServiceLoad(
-            pieces_per_s=speed * limits.slots * limits.batch_items / call_s,
-            call_s=call_s,
-            pending_pieces=self.progress.pending_pieces(service),
-        )
+        call_s = call_time_s(limits, limits.batch_items)
+        pieces_per_s = speed * limits.slots * limits.batch_items / call_s
+        self._throughputs[service] = (now_s, pieces_per_s)
+        return pieces_per_s
+
+    def prune(self) -> None:
+        """Drop what is counted on servers that are no longer listed."""
+        listed = set(self.servers.servers)
+        self.ledger.keep_only(listed)
+        self.slowness.keep_only(listed)
+        for counts in (self._calls, self._pause_until_s):
+            for server_id in [s for s in counts if s not in listed]:
+                del counts[server_id]
 
     def note_call_start(self, server_id: str, size_bytes: int) -> None:
         """Count a call that starts, and reserve memory for its results."""
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -67,6 +67,8 @@
 # Expected time that is returned for a job that was submitted before.
 RESUBMIT_CONFIRM_S = 0.4
 RETRY_AFTER_LIMITS_S = (0.2, 2.0)
+# Interval at which state of servers that are no longer listed is dropped.
+PRUNE_PERIOD_S = 2.0
 
 
 class StageOwner:
@@ -188,9 +190,14 @@
 
         Runs once every `REFUSAL_PAUSE_S`.
         """
+        pruned_s = self.env.clock.monotonic_s()
         while True:
             await self.env.clock.sleep(REFUSAL_PAUSE_S)
-            self.progress.drop_expired(self.env.clock.monotonic_s())
+            now_s = self.env.clock.monotonic_s()
+            self.progress.drop_expired(now_s)
+            if now_s - pruned_s >= PRUNE_PERIOD_S:
+                self.capacity.prune()
+                pruned_s = now_s
             self._fail_expired()
             self._refuse_unattainable()
             self._dispatch_all()
@@ -239,6 +246,8 @@
         queue = self.waiting.queues[service]
         if limits is None or not queue:
             return
+        if not self.capacity.has_free_server(service, limits):
+            return
         views = self.capacity.views(service, limits)
         waiting = sum(len(job.segments) for job in queue.values())
         available = available_servers(views, limits, waiting)
@@ -246,12 +255,15 @@
             return
         domains = {view.failure_domain for view in views}
         now_s = self.env.clock.monotonic_s()
-        ordered = self.waiting.startable_jobs(service, limits, now_s)
+        ordered = self.waiting.startable_jobs(service, views, limits, now_s)
         for view in available:
             batch = choose_batch(ordered, view, domains, limits, now_s)
-            if batch:
-                self._start_call(service, view, batch, limits)
-                ordered = self.waiting.startable_jobs(service, limits, now_s)
+            if not batch:
+                continue
+            self._start_call(service, view, batch, limits)
+            server = self.servers.servers[view.server_id]
+            views[views.index(view)] = self.capacity.view(server, limits)
+            ordered = self.waiting.startable_jobs(service, views, limits, now_s)
 
     def _start_call(
         self,
--- a/egretshed/stage_scheduling/result_ledger.py
+++ b/egretshed/stage_scheduling/result_ledger.py
@@ -1,16 +1,31 @@
 """Memory that results take on stage servers, as tracked by the batching node."""
 
+import heapq
 from collections import defaultdict
+from typing import NamedTuple
 
 from egretshed.environment import Environment
 
 
+class _HeldResult(NamedTuple):
+    server_id: str
+    size_bytes: int
+    expires_at_s: float
+
+
 class ResultLedger:
-    """Bytes of results on each stage server until they are freed or expire."""
+    """Bytes of results on each stage server until they are freed or expire.
+
+    Totals are kept up to date with each change: the available memory of every server is
+    read each time that jobs are dispatched.
+    """
 
     def __init__(self, env: Environment):
         self.env = env
-        self._held: dict[str, dict[str, tuple[float, int]]] = defaultdict(dict)
+        self._held: dict[str, _HeldResult] = {}
+        # Expiry time and handle of each result, the earliest first.
+        self._expiries: list[tuple[float, str]] = []
+        self._held_bytes: dict[str, int] = defaultdict(int)
         self._reserved: dict[str, int] = defaultdict(int)
         self._unaccounted: dict[str, tuple[float, int]] = {}
 
@@ -23,15 +38,26 @@
 
     def add(self, server_id: str, handle: str, size_bytes: int, ttl_s: float) -> None:
         """Count a finished result until it is removed, for `ttl_s` at most."""
-        expires_s = self.env.clock.monotonic_s() + ttl_s
-        self._held[server_id][handle] = (expires_s, size_bytes)
+        expires_at_s = self.env.clock.monotonic_s() + ttl_s
+        self.remove(handle)
+        self._held[handle] = _HeldResult(server_id, size_bytes, expires_at_s)
+        self._held_bytes[server_id] += size_bytes
+        heapq.heappush(self._expiries, (expires_at_s, handle))
 
     def remove(self, handle: str) -> str | None:
         """Stop counting a result; return the server that held it, or None."""
-        for server_id, results in self._held.items():
-            if results.pop(handle, None) is not None:
-                return server_id
-        return None
+        result = self._held.pop(handle, None)
+        if result is None:
+            return None
+        self._held_bytes[result.server_id] -= result.size_bytes
+        return result.server_id
+
+    def _remove_expired(self, now_s: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now_s:
+            expires_at_s, handle = heapq.heappop(self._expiries)
+            result = self._held.get(handle)
+            if result is not None and result.expires_at_s == expires_at_s:
+                self.remove(handle)
 
     def note_full(self, server_id: str, limit_bytes: int, for_s: float) -> None:
         """Count all memory that seems available on a server as taken for `for_s`.
@@ -49,17 +75,18 @@
     def available_bytes(self, server_id: str, limit_bytes: int) -> int:
         """Return how many more bytes of results the server can hold."""
         now_s = self.env.clock.monotonic_s()
-        expires_s, unaccounted = self._unaccounted.get(server_id, (0.0, 0))
-        if now_s >= expires_s:
-            unaccounted = 0
-        results = self._held[server_id]
-        for handle, (expires_s, _) in list(results.items()):
-            if expires_s <= now_s:
-                del results[handle]
-        held = unaccounted + sum(size for _, size in results.values())
-        return limit_bytes - held - self._reserved[server_id]
-
-    def forget(self, server_id: str) -> None:
-        self._held.pop(server_id, None)
-        self._reserved.pop(server_id, None)
-        self._unaccounted.pop(server_id, None)
+        self._remove_expired(now_s)
+        taken_bytes = self._held_bytes[server_id] + self._reserved[server_id]
+        unaccounted = self._unaccounted.get(server_id)
+        if unaccounted is not None and now_s < unaccounted[0]:
+            taken_bytes += unaccounted[1]
+        return limit_bytes - taken_bytes
+
+    def keep_only(self, server_ids: set[str]) -> None:
+        """Drop what is counted on servers that are no longer listed."""
+        for handle, result in list(self._held.items()):
+            if result.server_id not in server_ids:
+                del self._held[handle]
+        for counts in (self._held_bytes, self._reserved, self._unaccounted):
+            for server_id in [s for s in counts if s not in server_ids]:
+                del counts[server_id]
--- a/egretshed/stage_scheduling/waiting_jobs.py
+++ b/egretshed/stage_scheduling/waiting_jobs.py
@@ -13,6 +13,7 @@
 )
 from egretshed.stage_scheduling.batching import (
     ChosenPiece,
+    StageServerView,
     WaitingJob,
     next_call_s,
     startable_jobs,
@@ -87,14 +88,18 @@
                     queue[job_id] = job._replace(has_begun=True)
 
     def startable_jobs(
-        self, service: str, limits: StageLimits, now_s: float
+        self,
+        service: str,
+        views: list[StageServerView],
+        limits: StageLimits,
+        now_s: float,
     ) -> list[WaitingJob]:
         """Return the jobs of a service whose pieces may run now, most urgent first."""
         requests = self._waiting_requests()
         return startable_jobs(
             self.queues[service].values(),
             admit(requests, self._loads(requests)),
-            self.capacity.views(service, limits),
+            views,
             limits,
             now_s,
         )
