--- a/egretshed/daemon/main.py
+++ b/egretshed/daemon/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -9,9 +10,12 @@
 from typing import Protocol
 
 from egretshed import __version__
-from egretshed.errors import ExitStatus
+from egretshed.errors import (
+    ExitStatus,
+    SettingsInvalid,
+)
 from egretshed.logs import log_event
-from egretshed.settings.load import load_settings
+from egretshed.settings.load import read_settings
 from egretshed.settings.schema import Settings
 
 SETTINGS_VARIABLE = "EGRETSHED_NODE_FILE"
@@ -60,14 +64,15 @@
         )
         sys.exit(ExitStatus.USAGE)
     path = Path(arguments.settings)
-    result = load_settings(path)
-    if result.is_error():
-        for fault in result.error.faults:
+    try:
+        settings = read_settings(path)
+    except SettingsInvalid as error:
+        for fault in error.faults:
             print(f"{fault['path']}: {fault['message']}", file=sys.stderr)
         sys.exit(ExitStatus.BAD_SETTINGS)
     if arguments.check:
         sys.exit(ExitStatus.SUCCESS)
-    sys.exit(asyncio.run(serve(result.ok, path)))
+    sys.exit(asyncio.run(serve(settings, path)))
 
 
 def make_node(settings: Settings):
@@ -114,6 +119,9 @@
             await node.stop()
         return ExitStatus.SUCCESS
     start_task.result()
+    # What the start has allocated stays, so the collector need not look at it again.
+    gc.freeze()
+    gc.enable()
     end_tasks = {stop_signal_task}
     if hasattr(node, "superseded"):
         end_tasks.add(asyncio.create_task(node.superseded.wait()))
@@ -164,13 +172,10 @@
         if content is None or content == last_content:
             continue
         last_content = content
-        result = load_settings(path)
-        if result.is_error():
-            log_event(
-                node.env.logger, "settings_not_reloaded", faults=result.error.faults
-            )
-        else:
-            node.reload(result.ok)
+        try:
+            node.reload(read_settings(path))
+        except SettingsInvalid as error:
+            log_event(node.env.logger, "settings_not_reloaded", faults=error.faults)
 
 
 def _read_content(path: Path) -> bytes | None:
--- a/egretshed/settings/load.py
+++ b/egretshed/settings/load.py
@@ -1,14 +1,12 @@
 """Reads and validates the daemon's settings file; reports all faults by path."""
 
 from pathlib import Path
-from typing import Any
+from typing import (
+    TYPE_CHECKING,
+    Any,
+)
 
 import msgspec
-from expression import (
-    Error,
-    Ok,
-    Result,
-)
 
 from egretshed.errors import SettingsInvalid
 from egretshed.records import (
@@ -17,33 +15,62 @@
 )
 from egretshed.settings.schema import Settings
 
+if TYPE_CHECKING:
+    from expression import Result
+
 # Sums of decimal fractions are not exact in binary floating point.
 ROUNDING_TOLERANCE_S = 1e-6
 
 
-def load_settings(path: Path) -> Result[Settings, SettingsInvalid]:
-    """Return the settings from the JSON file at `path`, or all faults in it."""
+def read_settings(path: Path) -> Settings:
+    """Return the settings from the JSON file at `path`.
+
+    Raises `SettingsInvalid` with all faults in it. The daemon uses this function, which
+    needs no import of `expression` at its start.
+    """
     try:
         raw = msgspec.json.decode(path.read_bytes())
     except OSError as error:
-        return _invalid([Fault("$", f"cannot read {path}: {error.strerror}")])
+        raise _invalid([Fault("$", f"cannot read {path}: {error.strerror}")]) from error
     except msgspec.DecodeError as error:
-        return _invalid([Fault("$", f"not valid JSON: {error}")])
-    return check_settings(raw)
+        raise _invalid([Fault("$", f"not valid JSON: {error}")]) from error
+    return _checked(raw)
+
+
+def load_settings(path: Path) -> "Result[Settings, SettingsInvalid]":
+    """Return the settings from the JSON file at `path`, or all faults in it."""
+    return _as_result(read_settings, path)
 
 
-def check_settings(raw: Any) -> Result[Settings, SettingsInvalid]:
+def check_settings(raw: Any) -> "Result[Settings, SettingsInvalid]":
     """Return the settings from decoded JSON, or all faults in it.
 
     Checks the schema, the ranges of fields and the relations between them.
     """
+    return _as_result(_checked, raw)
+
+
+def _as_result(function, argument: Any) -> "Result[Settings, SettingsInvalid]":
+    from expression import (
+        Error,
+        Ok,
+    )
+
+    try:
+        return Ok(function(argument))
+    except SettingsInvalid as error:
+        return Error(error)
+
+
+def _checked(raw: Any) -> Settings:
     faults: list[Fault] = []
     settings = read_record(raw, Settings, "$", faults)
-    if settings is None:
-        return _invalid(faults)
-    faults += _range_faults(settings, "$")
-    faults += _relation_faults(settings)
-    return _invalid(faults) if faults else Ok(settings)
+    if settings is not None:
+        faults += _range_faults(settings, "$")
+        faults += _relation_faults(settings)
+    if settings is None or faults:
+        raise _invalid(faults)
+    return settings
 
 
 def _range_faults(section: Any, path: str):
@@ -95,10 +122,8 @@
     return faults
 
 
-def _invalid(faults: list[Fault]) -> Result[Settings, SettingsInvalid]:
-    return Error(
-        SettingsInvalid(
-            f"{len(faults)} faults in the settings",
-            faults=[fault._asdict() for fault in faults],
-        )
+def _invalid(faults: list[Fault]) -> SettingsInvalid:
+    return SettingsInvalid(
+        f"{len(faults)} faults in the settings",
+        faults=[fault._asdict() for fault in faults],
     )
--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -228,7 +228,7 @@
             self.processes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "egretshed.daemon.main",
+                "egretshed.daemon",
                 cwd=ROOT,
                 env={**os.environ, "EGRETSHED_NODE_FILE": str(path)},
                 stdout=log,
