Settle suspected faults of feeds, cold servers, placement and stage calls

Also, without a test of its own: an owner is told when its engine is not listed here; a 5xx response is recorded once; a cancelled stage job does not pause its server; a refused free call does not count as done; a route without latency objective has the deadline as target; a peer timeout of 0 counts.

--- a/egretshed/feeds/follower.py
+++ b/egretshed/feeds/follower.py
@@ -9,6 +9,10 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from itertools import (
+    chain,
+    islice,
+)
 from typing import NamedTuple
 
 from egretshed.environment import Environment
@@ -40,12 +44,13 @@
 
     With `is_whole` it is a full snapshot; rows in it without a value are unchanged at
     the receiver. Otherwise `rows` holds the changed rows; those without a value were
-    removed.
+    removed. The sender had confirmed the state `age_s` before.
     """
 
     version: int
     rows: tuple[StoredRow, ...]
     is_whole: bool = True
+    age_s: float = 0.0
 
 
 class TableFollower:
@@ -135,16 +140,24 @@
         """Apply a peer's state if it is newer; return whether it was applied."""
         if state.version <= self.version and self.is_loaded:
             return False
-        changes = TableChanges(state.rows, state.version)
+        if not (state.is_whole or self.is_loaded):
+            return False
+        changes = TableChanges(state.rows, state.version, age_s=state.age_s)
         try:
             if state.is_whole:
                 self._apply_snapshot(self._with_known_values(changes), "peer")
-            elif self.is_loaded:
+            else:
                 self._apply_changes(changes)
         except HistoryLost:
             return False
         return True
 
+    def _confirm(self, age_s: float) -> None:
+        """Record that the state was current `age_s` ago."""
+        confirmed_s = self.env.clock.monotonic_s() - age_s
+        if self.confirmed_s is None or confirmed_s > self.confirmed_s:
+            self.confirmed_s = confirmed_s
+
     def _with_known_values(self, changes: TableChanges) -> TableChanges:
         """Fill in the values that a peer left out as already known to this node."""
         rows = []
@@ -195,7 +208,7 @@
     async def _poll(self) -> None:
         if self._needs_full_read:
             changes = await self.feed().read_table(self.table)
-            self._mark_connected(changes.regained_age_s)
+            self._mark_connected(changes)
             source = "store" if changes.regained_age_s is None else "peer"
             self._apply_snapshot(changes, source)
             self._needs_full_read = False
@@ -205,7 +218,7 @@
         # calls do not wait for changes, so that recovery of the store is noticed soon.
         wait_s = LONG_POLL_S if self.is_connected else 0.0
         changes = await self.feed().changes(self.table, base_version, wait_s)
-        self._mark_connected(changes.regained_age_s)
+        self._mark_connected(changes)
         if changes.is_whole:
             self._apply_snapshot(self._with_known_values(changes), "peer")
         else:
@@ -220,7 +233,7 @@
         )
         self.rows = {(row.part, row.key): row for row in changes.rows}
         self.version = changes.version
-        self.confirmed_s = self.env.clock.monotonic_s()
+        self._confirm(changes.age_s)
         self._history.clear()
         self._history_start_version = self.version
         self._wake_waiters()
@@ -243,12 +256,14 @@
             else:
                 self.rows[row.part, row.key] = row
         self.version = max(self.version, changes.version)
-        self.confirmed_s = self.env.clock.monotonic_s()
+        self._confirm(changes.age_s)
         if newer:
-            if len(self._history) + len(newer) > MAX_HISTORY_ROWS:
-                self._history_start_version = (
-                    self._history[0].version if self._history else 0
+            dropped = len(self._history) + len(newer) - MAX_HISTORY_ROWS
+            if dropped > 0:
+                last_dropped = next(
+                    islice(chain(self._history, newer), dropped - 1, None)
                 )
+                self._history_start_version = last_dropped.version
             self._history.extend(newer)
             self._wake_waiters()
             self.on_change(newer, False)
@@ -272,9 +287,9 @@
             )
         self.is_connected = False
 
-    def _mark_connected(self, peer_regained_age_s: float | None) -> None:
-        if peer_regained_age_s is not None:
-            peer_regained_s = self.env.clock.monotonic_s() - peer_regained_age_s
+    def _mark_connected(self, changes: TableChanges) -> None:
+        if changes.regained_age_s is not None:
+            peer_regained_s = self.env.clock.monotonic_s() - changes.regained_age_s
             self.regained_s = max(self.regained_s or 0.0, peer_regained_s)
         if not self.is_connected:
             self.regained_s = self.env.clock.monotonic_s()
@@ -286,4 +301,4 @@
                 outage_s=round(self.age_s(), 3) if self.is_loaded else None,
             )
         self.is_connected = True
-        self.confirmed_s = self.env.clock.monotonic_s()
+        self._confirm(changes.age_s)
--- a/egretshed/feeds/peer_sync.py
+++ b/egretshed/feeds/peer_sync.py
@@ -131,8 +131,8 @@
         self.owners = owners
         self.followers = followers
         self._started_s = env.clock.monotonic_s()
-        # Version and compressed value of large rows, by table and key.
-        self._compressed_rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        # Version and compressed value of large rows, by table, part and key.
+        self._compressed_rows: dict[tuple[str, str, str], tuple[int, bytes]] = {}
         # Tables read directly after a reader failed, and when that began.
         self._direct_read_tables: set[str] = set()
         self._direct_read_since_s: dict[str, float] = {}
@@ -209,6 +209,7 @@
             await self.env.clock.sleep(
                 PEER_FETCH_PERIOD_S * self.env.random.uniform(0.8, 1.2)
             )
+            self._drop_compressed_rows()
             stale = [f for f in self.followers.values() if self._is_stale(f)]
             if stale:
                 await asyncio.gather(*(self._fetch_from_peer(f) for f in stale))
@@ -228,7 +229,7 @@
         except (PeerUnavailable, PeerRejected, PlatformUnavailable):
             # The next period tries another random peer.
             return
-        state = TableState(reply.version, rows, reply.is_whole)
+        state = TableState(reply.version, rows, reply.is_whole, reply.age_ms / 1000)
         if follower.adopt(state):
             log_event(
                 self.env.logger,
@@ -248,12 +249,19 @@
     def _encode_row(self, table: str, row: StoredRow) -> TableRow:
         if row.value is None or len(row.value) < MIN_COMPRESSED_BYTES:
             return TableRow(row.part, row.key, row.value, row.version)
-        version, compressed = self._compressed_rows.get((table, row.key), (0, b""))
+        cached_as = (table, row.part, row.key)
+        version, compressed = self._compressed_rows.get(cached_as, (0, b""))
         if version != row.version:
             compressed = zlib.compress(row.value)
-            self._compressed_rows[table, row.key] = (row.version, compressed)
+            self._compressed_rows[cached_as] = (row.version, compressed)
         return TableRow(row.part, row.key, compressed, row.version, True)
 
+    def _drop_compressed_rows(self) -> None:
+        """Drop the compressed values of rows that were removed."""
+        for table, part, key in list(self._compressed_rows):
+            if (part, key) not in self.followers[table].rows:
+                del self._compressed_rows[table, part, key]
+
     async def _handle_table_fetch(
         self, sender: Sender, message: TableFetch
     ) -> TableRows:
@@ -287,7 +295,13 @@
         StoredRow(row.part, row.key, _decode_value(row), row.version)
         for row in reply.rows
     )
-    return TableChanges(rows, reply.version, reply.regained_ms / 1000, reply.is_whole)
+    return TableChanges(
+        rows,
+        reply.version,
+        reply.regained_ms / 1000,
+        reply.is_whole,
+        reply.age_ms / 1000,
+    )
 
 
 def _decode_value(row: TableRow) -> bytes | None:
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -31,6 +31,36 @@
       | 5    | 5      | no    |
       | 5    | 4      | no    |
 
+  # Guards against a peer that gets changes with versions missing, because the history
+  # begins later than its start is said to be.
+  Scenario Outline: A follower gets <first> and then <then> changed rows
+    Given a follower that kept the changes of <first> and then <then> rows
+    When a peer that has every version up to <theirs> asks for the changes
+    Then the peer has all rows afterwards
+
+    Examples:
+      | first | then | theirs |
+      | 999   | 50   | 10     |
+      | 999   | 50   | 48     |
+      | 999   | 50   | 49     |
+      | 500   | 600  | 99     |
+      | 500   | 600  | 300    |
+      | 10    | 5    | 3      |
+
+  # Guards against old state of a peer that counts as confirmed at the time of its arrival,
+  # and against a report that changes were applied on which nothing was based.
+  Scenario Outline: A peer offers <what> that it had confirmed <age> s ago
+    Given a follower that has <known>
+    When a peer offers <what> that it had confirmed <age> s ago
+    Then the peer's state is applied: <taken>
+    And the age of the follower's state is <result> s
+
+    Examples:
+      | known          | what         | age | taken | result |
+      | nothing        | all rows     | 4   | yes   | 4      |
+      | nothing        | changed rows | 4   | no    | inf    |
+      | an older state | changed rows | 2   | yes   | 2      |
+
   # Guards against nodes that are refused by the store and stay stale although a peer has
   # the current rows, and against background tasks that end at the first error.
   Scenario Outline: The store serves only "node-1"; <change>
--- a/egretshed/feeds/tests/steps/follower_steps.py
+++ b/egretshed/feeds/tests/steps/follower_steps.py
@@ -186,3 +186,60 @@
 @then("the full table was read at most {most:d} times")
 def reads_at_most(context, most):
     assert context.feed.reads <= most, context.feed.reads
+
+
+def _follower(clock):
+    return TableFollower(
+        make_environment(clock), lambda: None, "t", lambda rows, is_whole: None
+    )
+
+
+@given("a follower that kept the changes of {first:d} and then {then:d} rows")
+def follower_with_history(context, first, then):
+    context.follower = _follower(ManualClock())
+    context.follower.adopt(TableState(0, ()))
+    version = 0
+    for count in (first, then):
+        rows = tuple(
+            StoredRow("", f"k{number}", b"v", number + 1)
+            for number in range(version, version + count)
+        )
+        version += count
+        context.follower.adopt(TableState(version, rows, is_whole=False))
+
+
+@when("a peer that has every version up to {theirs:d} asks for the changes")
+def peer_asks(context, theirs):
+    peer = _follower(ManualClock())
+    known = tuple(r for r in context.follower.rows.values() if r.version <= theirs)
+    peer.adopt(TableState(theirs, known))
+    peer.adopt(context.follower.changes_after(theirs))
+    context.peer = peer
+
+
+@then("the peer has all rows afterwards")
+def peer_has_all(context):
+    missing = set(context.follower.rows) - set(context.peer.rows)
+    assert not missing, sorted(missing)[:5]
+    assert context.peer.version == context.follower.version
+
+
+@given("a follower that has {known}")
+def follower_that_has(context, known):
+    context.clock = ManualClock()
+    context.follower = _follower(context.clock)
+    if known == "an older state":
+        context.follower.adopt(TableState(5, ()))
+        asyncio.run(context.clock.advance(9.0))
+
+
+@when("a peer offers {what} that it had confirmed {age:g} s ago")
+def offers_old_state(context, what, age):
+    rows = (StoredRow("", "k", b"v", 6),)
+    state = TableState(6, rows, is_whole=what == "all rows", age_s=age)
+    context.applied = context.follower.adopt(state)
+
+
+@then("the age of the follower's state is {age:g} s")
+def age_is(context, age):
+    assert context.follower.age_s() == age, context.follower.age_s()
--- a/egretshed/peers/network.py
+++ b/egretshed/peers/network.py
@@ -126,7 +126,8 @@
     async def call(
         self, node_id: str, message: Any, timeout_s: float | None = None
     ) -> Any:
-        timeout_s = timeout_s or self.env.settings.peers.call_timeout_s
+        if timeout_s is None:
+            timeout_s = self.env.settings.peers.call_timeout_s
         return await self._get_client(node_id).call(message, timeout_s)
 
     def send(self, node_id: str, message: Any) -> None:
--- a/egretshed/placement/engine_tracker.py
+++ b/egretshed/placement/engine_tracker.py
@@ -51,6 +51,7 @@
     was_idle: bool
     uncached_tokens: int
     drop_at_s: float
+    backlog_share_s: float  # by which the placement has extended the backlog
 
 
 class EngineTracker:
@@ -105,7 +106,8 @@
         prefill_s = uncached / self.tokens_per_s
         was_idle = engine.busy_until_s <= now_s
         begins_at_s = max(now_s, engine.busy_until_s)
-        engine.busy_until_s = begins_at_s + prefill_s * self.slowness(server_id)
+        backlog_share_s = prefill_s * self.slowness(server_id)
+        engine.busy_until_s = begins_at_s + backlog_share_s
         engine.prefilling.add(key)
         engine.running.add(key)
         self._update_cache(engine, parts, int(cache_limit_tokens * CACHE_SHARE))
@@ -116,6 +118,7 @@
             was_idle,
             uncached,
             now_s + deadline_s + EXPIRY_GRACE_S,
+            backlog_share_s,
         )
 
     def _update_cache(self, engine: _Engine, parts, limit_tokens: int) -> None:
@@ -165,12 +168,13 @@
         placed = self._placed.pop(key, None)
         if placed is None:
             return
-        engine = self._engine(placed.server_id)
+        engine = self._engines.get(placed.server_id)
+        if engine is None:
+            return
         engine.running.discard(key)
         if key in engine.prefilling:
             engine.prefilling.discard(key)
-            prefill_s = placed.uncached_tokens / self.tokens_per_s
-            engine.busy_until_s -= prefill_s
+            engine.busy_until_s -= placed.backlog_share_s
             if not engine.prefilling:
                 engine.busy_until_s = min(
                     engine.busy_until_s, self.env.clock.monotonic_s()
--- a/egretshed/placement/engines.py
+++ b/egretshed/placement/engines.py
@@ -112,8 +112,14 @@
                     self.owners.avoid(node_id, duty, str(error))
                     continue
                 server_id = reply.server_id
-            if server_id and server_id in self.servers.servers:
-                return EnginePlacement(server_id, node_id, ticket, query.service)
+            if not server_id:
+                continue
+            placement = EnginePlacement(server_id, node_id, ticket, query.service)
+            if server_id in self.servers.servers:
+                return placement
+            # The owner lists a server that this node does not know (any more).
+            if not query.is_dry_run:
+                self.note_end(placement)
         return None
 
     def note_first_event(self, placement: EnginePlacement) -> None:
--- a/egretshed/placement/tests/placement.feature
+++ b/egretshed/placement/tests/placement.feature
@@ -27,6 +27,18 @@
     Then each shared part is prefilled at most 2 times
     And no engine has more than 3 times the mean prefill time
 
+  # Guards against a backlog that stays counted, or goes missing, after a placement that
+  # ended before its first event.
+  Scenario Outline: A placement on an engine with slowness <slowness> is given up
+    Given an engine that has been <slowness> times slower than expected
+    When two prompts of 20,000 tokens are placed on it and the second is given up at once
+    Then its backlog is that of the first one
+
+    Examples:
+      | slowness |
+      | 1        |
+      | 4        |
+
   # Guards against a replica that is slow or fails while it reports itself healthy, and
   # against one that still gets no requests after it has recovered.
   Scenario Outline: One of 3 replicas <trouble>
--- a/egretshed/placement/tests/steps/placement_steps.py
+++ b/egretshed/placement/tests/steps/placement_steps.py
@@ -12,7 +12,10 @@
     PlacementNeeds,
     choose_engine,
 )
-from egretshed.placement.engine_tracker import EngineTracker
+from egretshed.placement.engine_tracker import (
+    FIRST_EVENT_BASE_S,
+    EngineTracker,
+)
 from egretshed.placement.replica_choice import choose_replica
 from egretshed.relay.request import PromptPart
 from egretshed.relay.server_selection import plain_candidate
@@ -150,3 +153,39 @@
 def share(context, most, least):
     assert context.before <= most, context.before
     assert context.after >= least, context.after
+
+
+@given("an engine that has been {slowness:g} times slower than expected")
+def slow_engine(context, slowness):
+    context.clock = ManualClock()
+    context.tracker = EngineTracker(make_environment(context.clock))
+    if slowness == 1:
+        return
+    for number in range(30):
+        key = ("n", 1000 + number)
+        _place(context, key, 100)
+        expected_s = context.tracker.backlog_s("e") + FIRST_EVENT_BASE_S
+        asyncio.run(context.clock.advance(expected_s * slowness))
+        context.tracker.note_first_event(key)
+        context.tracker.note_end(key)
+
+
+def _place(context, key, tokens):
+    prompt = (PromptPart(f"own{key[1]}", tokens),)
+    context.tracker.place(key, "e", prompt, CACHE_TOKENS, 5.0)
+
+
+@when(
+    "two prompts of 20,000 tokens are placed on it and the second is given up at once"
+)
+def place_two(context):
+    _place(context, ("n", 1), 20_000)
+    context.first_s = context.tracker.backlog_s("e")
+    _place(context, ("n", 2), 20_000)
+    context.tracker.note_end(("n", 2))
+
+
+@then("its backlog is that of the first one")
+def backlog_of_first(context):
+    backlog_s = context.tracker.backlog_s("e")
+    assert abs(backlog_s - context.first_s) < 0.001, (backlog_s, context.first_s)
--- a/egretshed/platform/interface.py
+++ b/egretshed/platform/interface.py
@@ -49,13 +49,14 @@
 
     With `is_whole` they are a snapshot of the table, in which rows without a value are
     unchanged. Changes forwarded by a peer carry `regained_age_s`, the seconds since
-    that peer regained access to the store.
+    that peer regained access to the store, and `age_s`, those since it confirmed them.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     regained_age_s: float | None = None
     is_whole: bool = False
+    age_s: float = 0.0
 
 
 class ChangeFeed(Protocol):
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -109,20 +109,28 @@
         self, state: RequestState, service: Service
     ) -> tuple[ServerState, EnginePlacement | None]:
         sizes = self.stages.bytes_by_domain(state)
-        chosen = await self.selector.choose(state, service, state.tried_ids, sizes)
-        if chosen is None and state.tried_ids:
-            # All servers have been tried; one of them may have capacity by now.
-            chosen = await self.selector.choose(state, service, set(), sizes)
-        if chosen is None:
-            if state.may_have_run:
-                raise RequestFailed("no server left to retry on", reason="no_server")
-            raise NotRun(
-                "no server available for the request",
-                reason="no_server",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        self.servers.acquire_cold_permit(chosen[0], service.cold_requests_per_s)
-        return chosen
+        excluded_ids = set(state.tried_ids)
+        while True:
+            chosen = await self.selector.choose(state, service, excluded_ids, sizes)
+            if chosen is None and state.tried_ids:
+                # All servers have been tried; one of them may have capacity by now.
+                chosen = await self.selector.choose(state, service, set(), sizes)
+            if chosen is None:
+                break
+            server, placement = chosen
+            if self.servers.acquire_cold_permit(server, service.cold_requests_per_s):
+                return chosen
+            # While the engine was chosen, another request took the permit.
+            if placement is not None:
+                self.placer.note_end(placement)
+            excluded_ids.add(server.server_id)
+        if state.may_have_run:
+            raise RequestFailed("no server left to retry on", reason="no_server")
+        raise NotRun(
+            "no server available for the request",
+            reason="no_server",
+            retry_after_s=RETRY_AFTER_S,
+        )
 
     def _handle_failure(
         self,
@@ -290,15 +298,11 @@
         now_s = self.env.clock.monotonic_s()
         self._check_response(response, state)
         failed = response.status >= SERVER_ERROR_STATUS
-        server.record_response(not failed, now_s, now_s - start_s)
-        if failed and self._can_retry(state, now_s):
-            raise ExchangeFailed(
-                f"server responded with status {response.status}", may_have_run=True
-            )
-        if failed and not response.signature:
+        if failed and (self._can_retry(state, now_s) or not response.signature):
             raise ExchangeFailed(
                 f"server responded with status {response.status}", may_have_run=True
             )
+        server.record_response(not failed, now_s, now_s - start_s)
         state.first_event_s = now_s
         state.outcome = (
             "answered" if response.is_success else f"status_{response.status}"
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -123,7 +123,7 @@
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
-        deadline_at_s = request.received_s + effective_deadline_s(request, route)
+        deadline_s = effective_deadline_s(request, route)
         service = choose_service(route, self.env.random)
         return RequestState(
             request=request,
@@ -132,8 +132,8 @@
             customer=customer,
             priority=priority,
             service=service,
-            deadline_at_s=deadline_at_s,
-            target_at_s=request.received_s + (route.latency_target_s or deadline_at_s),
+            deadline_at_s=request.received_s + deadline_s,
+            target_at_s=request.received_s + (route.latency_target_s or deadline_s),
         )
 
     async def _serve_until_disconnect(self, state: RequestState) -> None:
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -80,7 +80,12 @@
         self._remove_server(server)
 
     def expire_lapsed(self) -> None:
-        """Remove the servers whose lapsed entries were not listed again in time."""
+        """Remove the servers whose lapsed entries were not listed again in time.
+
+        None are removed before the store has been back for long enough.
+        """
+        if self.may_have_lapsed():
+            return
         now_s = self.env.clock.monotonic_s()
         for server in list(self.servers.values()):
             lapsed_since_s = server.lapsed_since_s
--- a/egretshed/servers/tests/servers.feature
+++ b/egretshed/servers/tests/servers.feature
@@ -29,6 +29,7 @@
       | gone                          | its entry is removed                              | 0     |
       | lapsed while the store is away | its entry is removed while the store is doubtful | 1     |
       | lapsed for too long           | its entry is removed and does not come back       | 0     |
+      | lapsed, store still away      | its entry is removed and the store stays away     | 1     |
       | domain taken out              | domain "a" is taken out                           | 0     |
       | unreachable                   | a connection to it fails                          | 0     |
       | reachable again               | a connection to it fails and 5 s pass             | 1     |
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -91,6 +91,14 @@
 def lapsed_and_expired(context):
     lapsed(context)
     asyncio.run(context.clock.advance(LAPSE_GRACE_S))
+    context.may_have_lapsed = False
+    context.registry.expire_lapsed()
+
+
+@when("its entry is removed and the store stays away")
+def lapsed_and_store_away(context):
+    lapsed(context)
+    asyncio.run(context.clock.advance(10 * LAPSE_GRACE_S))
     context.registry.expire_lapsed()
 
 
--- a/egretshed/stage_scheduling/calls.py
+++ b/egretshed/stage_scheduling/calls.py
@@ -34,14 +34,16 @@
 class CallOutcome(Enum):
     """How a call to a stage server ended.
 
-    `FULL` means that the server refused the call, `NOT_RUN` that it ran no piece, and
-    `MAY_HAVE_RUN` that it is unknown whether pieces ran.
+    `FULL` means that the server refused the call, `NOT_RUN` that it ran no piece,
+    `MAY_HAVE_RUN` that it is unknown whether pieces ran, and `NOT_SENT` that the call
+    was given up before it was sent.
     """
 
     ANSWERED = "answered"
     FULL = "full"
     NOT_RUN = "not_run"
     MAY_HAVE_RUN = "may_have_run"
+    NOT_SENT = "not_sent"
 
 
 class KnownHandles:
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -301,8 +301,9 @@
                     server.server_id, declared_s, now_s - began_at_s
                 )
             self._handle_results(server, batch, results, limits)
-        elif outcome == CallOutcome.FULL:
-            self.capacity.pause(server.server_id)
+        elif outcome in (CallOutcome.FULL, CallOutcome.NOT_SENT):
+            if outcome == CallOutcome.FULL:
+                self.capacity.pause(server.server_id)
             self._requeue(batch, limits, counts_as_failure=False)
         else:
             server.record_connection_failure(now_s)
@@ -317,7 +318,7 @@
         items = [self._item(p, now_s) for p in batch if p.job_id in self._jobs]
         if len(items) < len(batch):
             # A job was cancelled before its call started; the others are queued again.
-            return CallOutcome.FULL, []
+            return CallOutcome.NOT_SENT, []
         return await call_stage_server(
             self.pool, self._known_handles, server, items, expected_s
         )
--- a/egretshed/stage_scheduling/result_freer.py
+++ b/egretshed/stage_scheduling/result_freer.py
@@ -17,6 +17,7 @@
 # Handles are collected for this time, so that one call frees several results.
 FREE_DELAY_S = 0.01
 MAX_RESPONSE_BYTES = 65536
+OK_STATUS = 200
 
 
 class ResultFreer:
@@ -53,15 +54,23 @@
         request = encode_stage_free(address, handles)
         try:
             async with asyncio.timeout(FREE_TIMEOUT_S):
-                await self.pool.fetch(address, request, MAX_RESPONSE_BYTES, reuse=True)
+                status, _ = await self.pool.fetch(
+                    address, request, MAX_RESPONSE_BYTES, reuse=True
+                )
         except (ExchangeFailed, TimeoutError) as error:
-            # The call is not retried: the results expire on the server.
-            log_event(
-                self.env.logger,
-                "results_not_freed",
-                address=address,
-                results=len(handles),
-                error=str(error),
-            )
+            self._log_not_freed(address, handles, str(error))
+            return
+        if status != OK_STATUS:
+            self._log_not_freed(address, handles, f"status {status}")
             return
         self.on_freed(handles)
+
+    def _log_not_freed(self, address: str, handles: list[str], error: str) -> None:
+        """Log a failed call; it is not retried, since the results expire."""
+        log_event(
+            self.env.logger,
+            "results_not_freed",
+            address=address,
+            results=len(handles),
+            error=error,
+        )
