--- a/egretshed/metrics.py
+++ b/egretshed/metrics.py
@@ -2,8 +2,9 @@
 
 Values are kept in plain objects, and `prometheus_client` is imported when they are
 first read: its import would take a tenth of the processor time of a start, and after a
-power failure nothing is served before the start. Every node has its own metrics, so that several nodes can run in one
-process. `bounded_label` limits the number of label values, such as those of customers.
+power failure nothing is served before the start. Every node has its own metrics, so
+that several nodes can run in one process. `bounded_label` limits the number of label
+values, such as those of customers.
 """
 
 from bisect import bisect_left
