Send calls without a recognisable response on connections of their own

Change: a connection remembers how its server identifies responses; a request without a body check takes it only if the server repeats ids.

--- a/egretshed/stage_scheduling/tests/calls.feature
+++ b/egretshed/stage_scheduling/tests/calls.feature
@@ -24,3 +24,12 @@
     When 3 calls are made to it in turn, 0 ms apart
     Then at least 3 calls were answered
     And the server accepted at most 3 connections
+
+  # Guards against a request without a recognisable response on a connection that was kept
+  # for calls: its response could not be told from a late copy of theirs.
+  Scenario: Results are freed between the calls
+    Given a stage server that sends nothing of each response again after 0 ms
+    When 4 calls are made to it in turn, and the results of each are freed
+    Then at least 4 calls were answered
+    And all results were freed
+    And the server accepted at most 5 connections
--- a/egretshed/stage_scheduling/tests/steps/calls_steps.py
+++ b/egretshed/stage_scheduling/tests/steps/calls_steps.py
@@ -21,10 +21,12 @@
     KnownHandles,
     call_stage_server,
 )
+from egretshed.stage_scheduling.result_freer import ResultFreer
 from egretshed.upstream.pool import ConnectionPool
 from standins.behave_loop import run
 from standins.environments import make_environment
 
+FREE_PAUSE_S = 0.05
 REPEATED_SHARE = {"nothing": 0.0, "half": 0.5, "the whole": 1.0}
 
 
@@ -44,8 +46,11 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = int(head.lower().split(b"content-length: ")[1].split()[0])
-                pieces = json.loads(await reader.readexactly(length))["entries"]
-                body = json.dumps({"entries": [entry(p) for p in pieces]}).encode()
+                request = json.loads(await reader.readexactly(length))
+                body = b"{}"
+                if "entries" in request:
+                    results = [entry(piece) for piece in request["entries"]]
+                    body = json.dumps({"entries": results}).encode()
                 answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
                 answer += body
                 writer.write(answer)
@@ -66,10 +71,12 @@
 
     server = run(context, start())
     context.add_cleanup(server.close)
+    context.freed = []
+    context.port = server.sockets[0].getsockname()[1]
     listed = ListedServer(
         "s",
         "stage",
-        ServerAddress("127.0.0.1", server.sockets[0].getsockname()[1]),
+        ServerAddress("127.0.0.1", context.port),
         "a",
         ServerPhase.READY,
         1,
@@ -82,7 +89,8 @@
     numbers = itertools.count()
 
     def entry(piece):
-        return {"handle": f"127.0.0.1/{piece['id']}-{next(numbers)}"}
+        handle = f"127.0.0.1:{context.port}/{piece['id']}-{next(numbers)}"
+        return {"handle": handle}
 
     _start(context, entry, REPEATED_SHARE[extra], delay_ms / 1000)
 
@@ -110,6 +118,32 @@
     context.calls = run(context, call())
 
 
+@when("{count:d} calls are made to it in turn, and the results of each are freed")
+def call_and_free(context, count):
+    async def call():
+        env = make_environment(SystemClock())
+        pool, known = ConnectionPool(env), KnownHandles()
+        freer = ResultFreer(env, pool, context.freed.extend)
+        context.calls = []
+        for number in range(count):
+            item = StageItem(f"r{number}", 0, 0, 1.0, "k", ())
+            outcome, results = await call_stage_server(
+                pool, known, context.stage_server, [item], 0.1
+            )
+            context.calls.append((f"r{number}", outcome, results))
+            freer.free([result.handle for result in results])
+            await asyncio.sleep(FREE_PAUSE_S)
+        pool.close()
+
+    run(context, call())
+
+
+@then("all results were freed")
+def check_freed(context):
+    made = [result.handle for call in context.calls for result in call[2]]
+    assert sorted(context.freed) == sorted(made), context.freed
+
+
 @then("no piece got a result of another call")
 def check_results(context):
     for request_id, _, results in context.calls:
--- a/egretshed/upstream/pool.py
+++ b/egretshed/upstream/pool.py
@@ -50,8 +50,11 @@
 
 
 class _IdleConnection(NamedTuple):
+    """A kept connection; `repeats_ids` tells how its server identifies responses."""
+
     stream: ServerStream
     expires_at_s: float
+    repeats_ids: bool
 
 
 class ConnectionPool:
@@ -66,13 +69,18 @@
         self._idle: dict[str, list[_IdleConnection]] = defaultdict(list)
 
     async def open(
-        self, address: str, body_limit_bytes: int, reuse: bool = False
+        self,
+        address: str,
+        body_limit_bytes: int,
+        reuse: bool = False,
+        needs_id: bool = True,
     ) -> Exchange:
         """Return an exchange for one request; raise `ExchangeFailed` (nothing sent).
 
-        An idle connection is used only if `reuse` is set.
+        An idle connection is used only if `reuse` is set. With `needs_id`, its server
+        must have repeated the ids of earlier requests.
         """
-        stream = self._take_idle(address) if reuse else None
+        stream = self._take_idle(address, needs_id) if reuse else None
         is_reused = stream is not None
         if stream is None:
             self.env.metrics.counter(
@@ -100,13 +108,14 @@
             request_id = secrets.token_hex(REQUEST_ID_BYTES)
             headers = (*request.headers, (self.id_header, request_id))
             request = request._replace(headers=headers)
-        exchange = await self.open(address, body_limit_bytes, reuse)
+        needs_id = identify is None
+        exchange = await self.open(address, body_limit_bytes, reuse, needs_id)
         try:
             exchange.send(request)
             head = await exchange.head(timeouts.head_s)
             body = await exchange.body(timeouts.body)
             ownership = self._ownership(head, body, request_id, identify)
-            if ownership is Ownership.UNKNOWN and exchange.is_reused and not identify:
+            if ownership is Ownership.UNKNOWN and exchange.is_reused and needs_id:
                 ownership = Ownership.FOREIGN
             if ownership is Ownership.FOREIGN:
                 self.env.metrics.counter(
@@ -120,7 +129,8 @@
             exchange.close()
             raise
         if reuse and ownership is Ownership.PROVEN:
-            await self.put_back(address, exchange)
+            repeats_ids = bool(self.id_header and head.headers.get(self.id_header))
+            await self._put_back(address, exchange, repeats_ids)
         else:
             exchange.close()
         return head.status, body
@@ -138,7 +148,9 @@
             return Ownership.PROVEN if is_own else Ownership.FOREIGN
         return identify(body) if identify else Ownership.UNKNOWN
 
-    async def put_back(self, address: str, exchange: Exchange) -> None:
+    async def _put_back(
+        self, address: str, exchange: Exchange, repeats_ids: bool
+    ) -> None:
         """Keep the connection of an exchange if it can be reused, else close it."""
         if not await exchange.release():
             exchange.close()
@@ -149,15 +161,17 @@
             idle_limit_s = min(idle_limit_s, announced_s * ANNOUNCED_IDLE_SHARE)
         expires_at_s = self.env.clock.monotonic_s() + idle_limit_s
         idle = self._idle[address]
-        idle.append(_IdleConnection(exchange.stream, expires_at_s))
+        idle.append(_IdleConnection(exchange.stream, expires_at_s, repeats_ids))
         while len(idle) > MAX_IDLE_PER_SERVER:
             idle.pop(0).stream.close()
 
-    def _take_idle(self, address: str) -> ServerStream | None:
+    def _take_idle(self, address: str, needs_id: bool) -> ServerStream | None:
         idle = self._idle.get(address, [])
         now_s = self.env.clock.monotonic_s()
-        while idle:
-            connection = idle.pop()
+        for index in reversed(range(len(idle))):
+            if needs_id and not idle[index].repeats_ids:
+                continue
+            connection = idle.pop(index)
             if now_s < connection.expires_at_s and connection.stream.is_quiet():
                 return connection.stream
             connection.stream.close()
