Join a fleet with one call to the store and no write after a restart

Cause: each start took about ten calls of the store: the key was read, written by every node of a new fleet and read again, the list of nodes was read two to four times (for the cores and links of nodes met through peers, and each 20 s), and each restart wrote its row again. New nodes of a new fleet wait up to 1 s at random before one of them writes a key.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -24,7 +24,6 @@
 from egretshed.membership.registered_nodes import RegisteredNodes
 from egretshed.membership.service import MembershipService
 from egretshed.peers.network import TcpPeerNetwork
-from egretshed.peers.shared_key import obtain_shared_key
 from egretshed.placement.engines import EnginePlacer
 from egretshed.platform.headers import HEADERS
 from egretshed.platform.http_messages import encode_error_response
@@ -142,7 +141,6 @@
 
     def _build_peer_services(self) -> None:
         env = self.env
-        self.registered_nodes = RegisteredNodes(env, self.store)
         platform = Platform(None, None, None, self.registered_nodes)
         self.peers = TcpPeerNetwork(
             env, lambda node_id: self.membership.resolve(node_id)
@@ -263,14 +261,14 @@
             self._tasks.spawn("operators", self.operator_table.run)
         self._tasks.spawn("servers", self.server_table.run)
         self._tasks.spawn("pool", self.connection_pool.run)
-        key = await obtain_shared_key(env, self.store)
+        self.registered_nodes = RegisteredNodes(env, self.store)
+        key = await self.registered_nodes.join()
         current = self.settings.current
         self.settings.replace(
             current._replace(peers=current.peers._replace(keys=(key,)))
         )
         self._build_peer_services()
         self.peers.start(self._peer_sockets)
-        await self.registered_nodes.register()
         await self.membership.start()
         if has_slow_link:
             self._tasks.spawn("operators", self.operator_table.run)
--- a/egretshed/daemon/tests/entry_node.feature
+++ b/egretshed/daemon/tests/entry_node.feature
@@ -107,3 +107,11 @@
       | change          | event                 |
       | another bound   | settings_reloaded     |
       | not JSON at all | settings_not_reloaded |
+
+  # Guards against a restart of the whole fleet that takes many calls to the store, each of
+  # which is billed and delays the first answer.
+  Scenario: All nodes lose power and restart
+    Given 3 entry nodes and 2 servers of each service
+    When all nodes are killed and started again
+    Then the store got no write and at most 3 reads of a table from each node
+    And a request to /book/x is answered with 200 by each node
--- a/egretshed/daemon/tests/steps/entry_node_steps.py
+++ b/egretshed/daemon/tests/steps/entry_node_steps.py
@@ -305,3 +305,31 @@
     assert run(context, until_logged())
     response = run(context, context.fleet.request("node-0", "/book/x", "r1"))
     assert response.code == 200, response.code
+
+
+@when("all nodes are killed and started again")
+def restart_all(context):
+    async def restart():
+        fleet = context.fleet
+        for name in list(fleet.processes):
+            await fleet.stop_node(name, signal.SIGKILL)
+        fleet.store.calls_by_path.clear()
+        for name in fleet.ports:
+            await fleet.start_node(name)
+        await fleet.wait_until_ready(*fleet.ports)
+
+    run(context, restart())
+
+
+@then("the store got no write and at most {most:d} reads of a table from each node")
+def store_calls(context, most):
+    calls = context.fleet.store.calls_by_path
+    assert calls["/rows-tx"] == 0, calls
+    assert calls["/rows-get"] <= most * len(context.fleet.ports), calls
+
+
+@then("a request to {path} is answered with {status:d} by each node")
+def each_node_answers(context, path, status):
+    for name in context.fleet.ports:
+        response = run(context, context.fleet.request(name, path, f"again-{name}"))
+        assert response.code == status, (name, response.code, response.body)
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -454,6 +454,8 @@
      - failure_domain
      - region
      - load_permille
+     - millicores
+     - link_mbps
 
     """
 
@@ -468,10 +470,12 @@
         'failure_domain',
         'region',
         'load_permille',
+        'millicores',
+        'link_mbps',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, refutation=None, status=None, host=None, peer_port=None, http_port=None, failure_domain=None, region=None, load_permille=None,):
+    def __init__(self, node_id=None, incarnation=None, refutation=None, status=None, host=None, peer_port=None, http_port=None, failure_domain=None, region=None, load_permille=None, millicores=None, link_mbps=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.refutation = refutation
@@ -482,6 +486,8 @@
         self.failure_domain = failure_domain
         self.region = region
         self.load_permille = load_permille
+        self.millicores = millicores
+        self.link_mbps = link_mbps
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -542,6 +548,16 @@
                     self.load_permille = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.millicores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.link_mbps = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -592,6 +608,14 @@
             oprot.writeFieldBegin('load_permille', TType.I32, 10)
             oprot.writeI32(self.load_permille)
             oprot.writeFieldEnd()
+        if self.millicores is not None:
+            oprot.writeFieldBegin('millicores', TType.I32, 11)
+            oprot.writeI32(self.millicores)
+            oprot.writeFieldEnd()
+        if self.link_mbps is not None:
+            oprot.writeFieldBegin('link_mbps', TType.I32, 12)
+            oprot.writeI32(self.link_mbps)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5079,6 +5103,8 @@
     (8, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'region', 'UTF8', None, ),  # 9
     (10, TType.I32, 'load_permille', None, None, ),  # 10
+    (11, TType.I32, 'millicores', None, None, ),  # 11
+    (12, TType.I32, 'link_mbps', None, None, ),  # 12
 )
 all_structs.append(Probe)
 Probe.thrift_spec = (
--- a/egretshed/membership/duty_owners.py
+++ b/egretshed/membership/duty_owners.py
@@ -94,8 +94,8 @@
         if is_joining:
             found |= self._unknown_listed_nodes()
         usable = (found - avoided) | {self.env.identity.node_id}
-        listed = self.membership.listed_vm
-        return {n: capacity_weight(listed(n)) for n in usable}
+        vm = self.membership.vm
+        return {n: capacity_weight(vm(n)) for n in usable}
 
     def _unknown_listed_nodes(self) -> set[str]:
         return {
@@ -105,13 +105,12 @@
         }
 
     def nodes_with_fast_link(self, min_link_mbps: float) -> list[str]:
-        """Return other listed nodes with at least this link speed, members or not."""
-        own_id = self.env.identity.node_id
-        return [
-            vm.node_id
-            for vm in self.membership.listed()
-            if vm.link_mbps >= min_link_mbps and vm.node_id != own_id
-        ]
+        """Return other nodes with at least this link speed, listed or members."""
+        known_ids = {vm.node_id for vm in self.membership.listed()}
+        known_ids |= {m.node_id for m in self.membership.reachable()}
+        known_ids.discard(self.env.identity.node_id)
+        vms = [self.membership.vm(node_id) for node_id in sorted(known_ids)]
+        return [vm.node_id for vm in vms if vm and vm.link_mbps >= min_link_mbps]
 
     def others(self) -> list[str]:
         """Return the other reachable nodes."""
--- a/egretshed/membership/members.py
+++ b/egretshed/membership/members.py
@@ -25,6 +25,7 @@
 
     `leaving` stays set for the rest of the incarnation, also while suspected.
     `load_permille` is the load that the member last reported to this node itself.
+    `cores` is the processor that the member may use; None if it did not tell.
     """
 
     node_id: str
@@ -38,6 +39,8 @@
     region: str
     leaving: bool = False
     load_permille: int = 0
+    cores: float | None = None
+    link_mbps: float | None = None
 
     @property
     def is_reachable(self) -> bool:
@@ -50,6 +53,7 @@
 def own_member(env: Environment) -> Member:
     """Return the initial record of this process."""
     identity = env.identity
+    node = env.settings.node
     return Member(
         identity.node_id,
         identity.incarnation,
@@ -60,6 +64,8 @@
         identity.http_port,
         identity.failure_domain,
         identity.region,
+        cores=node.cores * node.core_share,
+        link_mbps=node.link_mbps,
     )
 
 
@@ -76,6 +82,8 @@
         member.failure_domain,
         member.region,
         member.load_permille,
+        None if member.cores is None else round(member.cores * 1000),
+        None if member.link_mbps is None else round(member.link_mbps),
     )
 
 
@@ -94,6 +102,8 @@
         update.region,
         status == MemberStatus.LEAVING,
         update.load_permille or 0,
+        None if update.millicores is None else update.millicores / 1000,
+        update.link_mbps,
     )
 
 
--- a/egretshed/membership/registered_nodes.py
+++ b/egretshed/membership/registered_nodes.py
@@ -1,7 +1,11 @@
 """List of the entry nodes, kept by the nodes themselves in the platform's store.
 
-A node writes its row at start and removes it when it leaves permanently. The list holds
-the nodes that may exist; which of them are alive is determined by probes.
+A node writes its row at start, unless the row is there already, and removes it when it
+leaves permanently. The list holds the nodes that may exist; which of them are alive is
+determined by probes. It also holds a copy of the shared key of the nodes.
+
+Load pattern: all VMs of a large fleet restart after a power failure. Each call to the
+store is billed, and delays a start, so a restarted node joins with a single one.
 """
 
 import msgspec
@@ -13,6 +17,7 @@
     TableOutcomeUnknown,
 )
 from egretshed.logs import log_event
+from egretshed.peers.shared_key import obtain_shared_key
 from egretshed.platform.interface import ListedVm
 from egretshed.platform.store import (
     RowStore,
@@ -21,6 +26,11 @@
 
 NODE_TABLE = "egretshed_nodes"
 ENTRY_ROLE = "entry"
+# Key of the row with the copy of the shared key; it is not an id of a node.
+KEY_ROW = "!shared_key"
+# The nodes of a new fleet find no key. Each waits for a random time up to this one and
+# reads again, so that only the first few write one.
+NEW_FLEET_WAIT_S = 1.0
 # Mean delay before a node retries an unconfirmed write of its row.
 REGISTER_RETRY_S = 0.3
 
@@ -41,15 +51,30 @@
     def __init__(self, env: Environment, store: RowStore):
         self.env = env
         self.store = store
+        self._shared_key = ""
+        self._own_value: bytes | None = None
+        # The list as read by `join`, until `read` returns it.
+        self._unused_list: list[ListedVm] | None = None
 
     async def read(self) -> list[ListedVm]:
         """Return the registered nodes; undecodable rows are logged and skipped.
 
         Raises `PlatformUnavailable`.
         """
+        if self._unused_list is not None:
+            listed, self._unused_list = self._unused_list, None
+            return listed
+        return await self._read_rows()
+
+    async def _read_rows(self) -> list[ListedVm]:
         changes = await self.store.read_table(NODE_TABLE)
         listed = []
         for row in changes.rows:
+            if row.key == KEY_ROW:
+                self._shared_key = (row.value or b"").decode("ascii", "replace")
+                continue
+            if row.key == self.env.identity.node_id:
+                self._own_value = row.value
             try:
                 node = msgspec.json.decode(row.value or b"", type=_NodeWire)
             except msgspec.DecodeError as error:
@@ -72,11 +97,35 @@
             )
         return listed
 
-    async def register(self) -> None:
-        """Write this node's row, with retries until the write is confirmed."""
+    async def join(self) -> str:
+        """Write this node's row if it is missing, and return the shared key.
+
+        Retries until the store has answered.
+        """
+        listed = await self._read_until_answered()
+        if not self._shared_key:
+            await self.env.clock.sleep(NEW_FLEET_WAIT_S * self.env.random.random())
+            listed = await self._read_until_answered()
+        has_copy = bool(self._shared_key)
+        if not has_copy:
+            self._shared_key = await obtain_shared_key(self.env, self.store)
+        value = self._encode_own_row()
+        if has_copy and value == self._own_value:
+            # The nodes that joined since are found through their peers.
+            self._unused_list = listed
+            log_event(self.env.logger, "node_registered", written=False)
+            return self._shared_key
+        writes = [RowWrite(self.env.identity.node_id, value)]
+        if not has_copy:
+            writes.append(RowWrite(KEY_ROW, self._shared_key.encode()))
+        await self._write_until_confirmed(writes)
+        log_event(self.env.logger, "node_registered", written=True)
+        return self._shared_key
+
+    def _encode_own_row(self) -> bytes:
         identity = self.env.identity
         settings = self.env.settings.node
-        value = msgspec.json.encode(
+        return msgspec.json.encode(
             _NodeWire(
                 identity.host,
                 identity.peer_port,
@@ -87,17 +136,25 @@
                 settings.link_mbps,
             )
         )
+
+    async def _read_until_answered(self) -> list[ListedVm]:
         while True:
             try:
-                await self.store.write(
-                    NODE_TABLE, [RowWrite(identity.node_id, value)], {}
-                )
+                return await self._read_rows()
+            except PlatformUnavailable as error:
+                await self._wait_after("node_list_unavailable", error)
+
+    async def _write_until_confirmed(self, writes: list[RowWrite]) -> None:
+        while True:
+            try:
+                await self.store.write(NODE_TABLE, writes, {})
                 return
             except (PlatformUnavailable, TableOutcomeUnknown, TableConflict) as error:
-                log_event(self.env.logger, "node_not_registered", reason=str(error))
-                await self.env.clock.sleep(
-                    REGISTER_RETRY_S * self.env.random.uniform(0.5, 1.5)
-                )
+                await self._wait_after("node_not_registered", error)
+
+    async def _wait_after(self, event: str, error: Exception) -> None:
+        log_event(self.env.logger, event, reason=str(error))
+        await self.env.clock.sleep(REGISTER_RETRY_S * self.env.random.uniform(0.5, 1.5))
 
     async def remove(self, node_id: str) -> None:
         """Remove a node's row; raises `PlatformUnavailable`, `TableOutcomeUnknown`."""
--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -21,7 +21,10 @@
 from egretshed.membership.pause import PauseDetector
 from egretshed.membership.probes import Prober
 from egretshed.membership.view import FleetView
-from egretshed.membership.vm_list import ListedVms
+from egretshed.membership.vm_list import (
+    ENTRY_ROLE,
+    ListedVms,
+)
 from egretshed.peers.connection import PeerAddress
 from egretshed.peers.network import (
     PeerNetwork,
@@ -98,7 +101,11 @@
             log_event(self.env.logger, "membership_stopped")
 
     def _has_unlisted_member(self) -> bool:
-        return any(not self._vms.is_listed(m.node_id) for m in self._view.reachable())
+        """Return whether the list is needed for the capacity of a member."""
+        return any(
+            member.cores is None and not self._vms.is_listed(member.node_id)
+            for member in self._view.reachable()
+        )
 
     def on_version(self, callback: Callable[[str, int], None]) -> None:
         """Call `callback(node_id, version)` for each version reported by a peer."""
@@ -162,8 +169,25 @@
         """Return the entry nodes of the VM list at its last read."""
         return list(self._vms.entries.values())
 
-    def listed_vm(self, node_id: str) -> ListedVm | None:
-        return self._vms.entries.get(node_id)
+    def vm(self, node_id: str) -> ListedVm | None:
+        """Return a node's VM, as its member told or else as it is listed.
+
+        Returns None if the capacity of the VM is unknown.
+        """
+        member = self._view.members.get(node_id)
+        if member is None or member.cores is None or member.link_mbps is None:
+            return self._vms.entries.get(node_id)
+        return ListedVm(
+            node_id,
+            ENTRY_ROLE,
+            member.host,
+            member.peer_port,
+            member.http_port,
+            member.failure_domain,
+            member.region,
+            cores=member.cores,
+            link_mbps=member.link_mbps,
+        )
 
     def is_settled(self) -> bool:
         """Return whether this node may act on its member view.
--- a/egretshed/membership/tests/steps/owner_steps.py
+++ b/egretshed/membership/tests/steps/owner_steps.py
@@ -133,7 +133,7 @@
     def listed(self):
         return [ListedVm(name, "entry", "h", 1, 2, "a", "r") for name in self.names]
 
-    def listed_vm(self, node_id):
+    def vm(self, node_id):
         return None
 
     def member(self, node_id):
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -54,6 +54,8 @@
   8: required string failure_domain,
   9: required string region,
   10: optional i32 load_permille,
+  11: optional i32 millicores,          // processor that the node may use
+  12: optional i32 link_mbps,
 }
 
 struct Probe {
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections import Counter
 from typing import NamedTuple
 
 from tornado.web import (
@@ -38,6 +39,7 @@
         self.oldest_version = 0
         self.mode = "ok"
         self.calls = 0
+        self.calls_by_path: Counter[str] = Counter()
 
     def put(self, table: str, key: str, value: bytes | None, part: str = "") -> None:
         self.version += 1
@@ -81,6 +83,7 @@
 
     async def prepare(self) -> None:
         self.state.calls += 1
+        self.state.calls_by_path[self.request.path] += 1
         if self.state.mode == "busy":
             self.set_status(503)
             self.finish({})
