Limit the retries of a large fleet at a store that is down

Cause: while the store is down each node retries it every 1.5 s for each table: 260 calls/s of 195 nodes. Change: from 100 nodes on the interval grows with the fleet. Ruled out: fewer readers; a store that serves a part of the VMs would then turn all of them away.

--- a/egretshed/feeds/peer_sync.py
+++ b/egretshed/feeds/peer_sync.py
@@ -52,6 +52,8 @@
 # Interval at which a node without a working reader retries an unresponsive store. The
 # time limit for a change to be in force restarts when the store recovers.
 STORE_RETRY_PERIOD_S = 1.5
+# A larger fleet retries less often: while the store is down its nodes all retry it.
+FULL_RATE_NODES = 100
 # Interval at which a node without access to the store fetches from a peer. Changes must
 # be in force within seconds on such a node too.
 PEER_FETCH_PERIOD_S = 0.4
@@ -184,7 +186,7 @@
 
         It may at start, and for `DIRECT_READ_DURATION_S` after its readers failed.
         While the store is down, all nodes lose their readers; each then retries the
-        store only every `STORE_RETRY_PERIOD_S`.
+        store only every `store_retry_period_s`.
         """
         since_s = self._direct_read_since_s.get(follower.table)
         if since_s is None:
@@ -194,7 +196,7 @@
                 follower.table in self._direct_read_tables
                 and now_s - since_s < DIRECT_READ_DURATION_S
             )
-        return now_s - since_s >= STORE_RETRY_PERIOD_S
+        return now_s - since_s >= store_retry_period_s(1 + len(self.owners.others()))
 
     def _may_read_store_at_start(self, now_s: float) -> bool:
         is_slow = self.env.settings.node.link_mbps < SLOW_LINK_MBPS
@@ -290,6 +292,15 @@
         )
 
 
+def store_retry_period_s(node_count: int) -> float:
+    """Return the interval at which each node retries a store that does not respond.
+
+    Load pattern: the store is down or serves a part of the fleet. The nodes that reach
+    it first pass on its rows, so the retries of all nodes together are limited.
+    """
+    return STORE_RETRY_PERIOD_S * max(1.0, node_count / FULL_RATE_NODES)
+
+
 def _decode_changes(reply: TableRows) -> TableChanges:
     rows = tuple(
         StoredRow(row.part, row.key, _decode_value(row), row.version)
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -102,3 +102,16 @@
     Given a node that follows the readers "r1 r2 r3 r4 r5"
     When it asks for changes 10 times
     Then no reader was asked again before all others were asked
+
+  # Guards against a store that is flooded by the retries of a large fleet, and against
+  # nodes that learn of its return too late.
+  Scenario Outline: <nodes> nodes retry a store that is down
+    Given a fleet of <nodes> nodes without a reader
+    Then they retry the store at most <most> times/s together, each within <period> s
+
+    Examples:
+      | nodes | most | period |
+      | 7     | 5    | 1.5    |
+      | 72    | 48   | 1.5    |
+      | 195   | 67   | 3      |
+      | 357   | 67   | 5.4    |
--- a/egretshed/feeds/tests/steps/follower_steps.py
+++ b/egretshed/feeds/tests/steps/follower_steps.py
@@ -15,6 +15,7 @@
     TableFollower,
     TableState,
 )
+from egretshed.feeds.peer_sync import store_retry_period_s
 from egretshed.platform.interface import (
     StoredRow,
     TableChanges,
@@ -243,3 +244,17 @@
 @then("the age of the follower's state is {age:g} s")
 def age_is(context, age):
     assert context.follower.age_s() == age, context.follower.age_s()
+
+
+@given("a fleet of {nodes:d} nodes without a reader")
+def fleet_without_reader(context, nodes):
+    context.nodes = nodes
+
+
+@then(
+    "they retry the store at most {most:d} times/s together, each within {period:g} s"
+)
+def retry_rate(context, most, period):
+    period_s = store_retry_period_s(context.nodes)
+    assert context.nodes / period_s <= most, period_s
+    assert period_s <= period, period_s
