Test that uncertainty never restarts, gives up or denies running work

Cause: reports of operators: an answer is lost and the work runs again or is reported as not run; a VM or server that is silent has its running work started elsewhere. The mechanism is AttemptRunner: an attempt ends only with the server's answer, its connection or the deadline, and 503 needs the server's proof. Change: tests only; the features of the daemon are one suite a file, since together they come close to the time limit of a suite.

--- a/egretshed/daemon/tests/steps/entry_node_steps.py
+++ b/egretshed/daemon/tests/steps/entry_node_steps.py
@@ -24,6 +24,8 @@
     "are well": "ok",
     "is full": "full",
     "hang": "hang",
+    "lose their answers": "lost",
+    "answer 503 after the run": "late_503",
     "drip": "drip",
     "drips": "drip",
     "sends an event without end": "endless",
--- a/standins/run_tests.py
+++ b/standins/run_tests.py
@@ -15,6 +15,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 8
 SUITE_TIMEOUT_S = 480
+SPLIT_FOLDERS = frozenset({"daemon"})
 
 
 class Suite(NamedTuple):
@@ -36,9 +37,7 @@
         if folder_name not in ("all", name):
             continue
         if only in ("all", "behave") and any(folder.glob("*.feature")):
-            behave = ("-m", "behave", "--no-capture", "--format", "progress3")
-            tags = ("--tags", "not @known_red", "--no-skipped")
-            suites.append(Suite(f"{name} features", (*behave, *tags, str(folder))))
+            suites += _feature_suites(folder, name)
         if only in ("all", "fuzz"):
             suites += [
                 Suite(f"{name} {file.stem}", (str(file),))
@@ -47,6 +46,18 @@
     return suites
 
 
+def _feature_suites(folder: Path, name: str) -> list[Suite]:
+    """Return one suite, or one a file for folders whose features start processes."""
+    behave = ("-m", "behave", "--no-capture", "--format", "progress3")
+    behave += ("--tags", "not @known_red", "--no-skipped")
+    if name not in SPLIT_FOLDERS:
+        return [Suite(f"{name} features", (*behave, str(folder)))]
+    return [
+        Suite(f"{name} {file.stem}", (*behave, str(file)))
+        for file in sorted(folder.glob("*.feature"))
+    ]
+
+
 def run_suite(suite: Suite, fuzz_arguments: tuple[str, ...]) -> SuiteResult:
     arguments = suite.command
     if not suite.command[0].startswith("-"):
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -21,6 +21,7 @@
 _HANDLE_NUMBERS = itertools.count(1)
 # Handles of the results that the stage servers of this process hold for engines.
 STORED_RESULTS: set[str] = set()
+ERROR_STATUSES = {"error": 500, "late_503": 503}
 DRIP_S = 0.1
 DRIP_EVENTS = 2
 SLOW_EVENT_S = 0.55
@@ -40,6 +41,8 @@
     - ``cut``: runs the request and closes the connection within the event stream.
     - ``other``: responds with 421, as for a request meant for another server.
     - ``gone``: reports missing inputs the first time that a piece is run.
+    - ``lost``: runs the request and closes the connection without a response.
+    - ``late_503``: runs the request and responds with 503.
     - ``drip``: sends two events and then a byte each 0.1 s, without end.
     - ``endless``: sends an event without end as fast as it is read.
     - ``slow``: sends its events `SLOW_EVENT_S` apart, each in two parts.
@@ -108,8 +111,12 @@
         self.set_header("Replica-Signature", f"sig-{request_id}")
         if state.mode == "hang":
             await asyncio.sleep(60)
-        if state.mode == "error":
-            self.set_status(500)
+        if state.mode == "lost":
+            await asyncio.sleep(state.work_s)
+            self.request.connection.stream.close()
+            return
+        if state.mode in ERROR_STATUSES:
+            self.set_status(ERROR_STATUSES[state.mode])
             self.write("failed")
             return
         if state.kind == "engine":
