--- a/egretshed/cli/commands/explain.py
+++ b/egretshed/cli/commands/explain.py
@@ -32,6 +32,7 @@
         "store_lost",
         "store_regained",
         "owner_avoided",
+        "duty_owner_changed",
         "process_was_paused",
         "node_leaving",
     }
--- a/egretshed/membership/duty_owners.py
+++ b/egretshed/membership/duty_owners.py
@@ -65,6 +65,7 @@
         self._ranked_for: tuple | None = None
         self._weights: dict[str, float] = {}
         self._rankings: dict[str, list[str]] = {}
+        self._owners: dict[str, str] = {}
 
     def ranked(self, duty: str) -> list[str]:
         """Return the nodes that may own a duty, in order of preference."""
@@ -79,8 +80,24 @@
         ranking = self._rankings.get(duty)
         if ranking is None:
             ranking = self._rankings[duty] = rank_nodes(duty, self._weights)
+            self._log_owner(duty, ranking)
         return ranking
 
+    def _log_owner(self, duty: str, ranking: list[str]) -> None:
+        owner, previous = ranking[0], self._owners.get(duty)
+        if owner == previous:
+            return
+        self._owners[duty] = owner
+        log_event(
+            self.env.logger,
+            "duty_owner_changed",
+            duty=duty,
+            owner=owner,
+            previous=previous,
+            weight=round(self._weights[owner], 6),
+            nodes=len(ranking),
+        )
+
     def _avoided(self, now_s: float) -> frozenset[str]:
         for node_id, until_s in list(self._avoid_until_s.items()):
             if now_s >= until_s:
--- a/egretshed/upstream/pool.py
+++ b/egretshed/upstream/pool.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from egretshed.environment import Environment
+from egretshed.logs import log_event
 from egretshed.upstream.exchange import (
     Exchange,
     ExchangeFailed,
@@ -122,6 +123,14 @@
                     "server_foreign_responses_total",
                     "Responses that belong to another request or to none",
                 ).inc()
+                log_event(
+                    self.env.logger,
+                    "foreign_response",
+                    address=address,
+                    status=head.status,
+                    reused=exchange.is_reused,
+                    outcome="connection_closed",
+                )
                 raise ExchangeFailed(
                     "response belongs to another request", may_have_run=True
                 )
