Refuse at once what needs a service without servers

Requests that needed it took the first stage (23 calls in 4 s), waited and were refused late or failed at their deadline; the throughput of the service was still counted from its evacuated server. Ruled out: a lost or overloaded owner; it answered all the time. Change: servers that are leaving, gone or evacuated do not count; such requests are refused at once with a Retry-After, begin no stage and block nobody else. The same for a request without any engine. Whether the callers could be served by holding them until the evacuation ends is not known to a node; their second try comes after the Retry-After.

--- a/egretshed/daemon/tests/entry_node.feature
+++ b/egretshed/daemon/tests/entry_node.feature
@@ -49,6 +49,14 @@
     And 3 pieces of "first" and 5 of "second" were computed exactly once
     And the servers hold no results
 
+  # Guards against stages that run although no engine can take the request afterwards.
+  Scenario: All engines are leaving
+    Given 3 entry nodes and 2 servers of each service
+    And of the servers of "engine", all are leaving
+    When request "r1" to /ask/x is sent with 3 and 5 pieces
+    Then the caller receives status 503 within its deadline
+    And 0 pieces of "first" and 0 of "second" were computed exactly once
+
   # Guards against a request that is refused although lost results can be computed again.
   Scenario: Stage results are lost once
     Given 3 entry nodes and 2 servers of each service
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -241,6 +241,12 @@
 
     async def _run_stages(self, state: RequestState, service: Service) -> None:
         if state.route.stages:
+            if not self.stages.selector.has_server(state, service):
+                raise NotRun(
+                    "no server of the service",
+                    reason="no_server",
+                    retry_after_s=RETRY_AFTER_S,
+                )
             await self.stages.run(state, service)
             state.stages_done_s = self.env.clock.monotonic_s()
 
--- a/egretshed/relay/server_selection.py
+++ b/egretshed/relay/server_selection.py
@@ -65,6 +65,14 @@
         order = engine_order(prompt.affinity_key(), by_id)
         return by_id[order[0]].failure_domain
 
+    def has_server(self, state: RequestState, service: Service) -> bool:
+        """Return whether any server may take the request, cold or in backoff included.
+
+        Without one, stages that are run for the request are wasted.
+        """
+        regions = state.route.regions
+        return bool(self.servers.usable_despite_failures(service.name, regions))
+
     def usable_servers(
         self, state: RequestState, service: Service, tried_ids
     ) -> list[ServerState]:
--- a/egretshed/stage_scheduling/admission.py
+++ b/egretshed/stage_scheduling/admission.py
@@ -9,10 +9,9 @@
 reaches it.
 
 A request that waits so long that it cannot end in time is refused early enough for its
-caller to retry.
+caller to retry. One that needs a service without any server is refused at once.
 """
 
-import math
 from collections.abc import (
     Iterable,
     Mapping,
@@ -22,6 +21,8 @@
 # Work that may queue at a service in addition to what it finishes before a request
 # arrives, so that a server that becomes free gets a full call at once.
 QUEUE_AHEAD_S = 0.4
+# Expected time of a request that needs a service without servers; above any deadline.
+NO_SERVER_S = 3600.0
 
 
 class PendingStage(NamedTuple):
@@ -84,6 +85,9 @@
         load = loads.get(stage.service)
         if load is None:
             continue
+        if not load.pieces_per_s:
+            saturated.add(stage.service)
+            continue
         arrival_s += load.call_s
         ahead = pieces[stage.service]
         # A service without pending pieces takes a request of any size.
@@ -123,5 +127,5 @@
 def _drain_time_s(pieces: float, load: ServiceLoad) -> float:
     """Return how long a service takes to finish `pieces`."""
     if not load.pieces_per_s:
-        return math.inf
+        return NO_SERVER_S
     return pieces / load.pieces_per_s
--- a/egretshed/stage_scheduling/capacity.py
+++ b/egretshed/stage_scheduling/capacity.py
@@ -99,9 +99,11 @@
         calculated_at_s, pieces_per_s = self._throughputs.get(service, (-math.inf, 0.0))
         if now_s - calculated_at_s < THROUGHPUT_TTL_S:
             return pieces_per_s
-        # If no server is usable all are counted: most servers that have just failed
-        # are usable again before the work reaches them.
-        servers = self.servers.usable(service) or self.servers.of_service(service)
+        # If no server is usable those in backoff are counted: most servers that have
+        # just failed are usable again before the work reaches them. Servers that are
+        # leaving, gone or evacuated take no more work.
+        servers = self.servers.usable(service)
+        servers = servers or self.servers.usable_despite_failures(service)
         speed = sum(1 / self.slowness.estimate(s.server_id) for s in servers)
         call_s = call_time_s(limits, limits.batch_items)
         pieces_per_s = speed * limits.slots * limits.batch_items / call_s
