Lease blocks of test ports to one process

Suites run side by side and each chose free ports at random from 11,000 to 31,000 (the benches from 20,000); a port that was free for two of them was given to both. With 15 ports a fleet this is likely once in some runs. Ruled out: outgoing connections (the range is below the ephemeral one), a node that was still stopping (its ports are not returned while they are bound). Change: a process keeps the first port of a block of 100 bound, which excludes others from the block, and never hands out a port twice. Fleets and benches use the same module. Test: ports.feature; it needs the new class, so the former function could not run it.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -28,7 +28,6 @@
 )
 from bench.processes import (
     ManagedProcess,
-    free_ports,
     stop_all,
 )
 from egretshed.clock import SystemClock
@@ -38,6 +37,7 @@
     with_urls,
 )
 from standins.http_server import LOOPBACK
+from standins.ports import free_ports
 from standins.seeding import write_first_configuration
 
 DAEMON = "from egretshed.daemon.main import main; main()"
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,22 +1,15 @@
 """Subprocesses of a run, which are signalled by process id."""
 
 import asyncio
-import errno
 import os
-import random
 import signal
-import socket
 import subprocess
 from pathlib import Path
 
 from egretshed.clock import Clock
-from standins.http_server import LOOPBACK
 
 POLL_S = 0.05
 KILL_WAIT_S = 5.0
-# Below Linux's default range of ephemeral ports, which starts at 32768.
-LOWEST_PORT = 20_000
-HIGHEST_PORT = 32_000
 
 
 class ProcessNotReady(Exception):
@@ -108,24 +101,3 @@
     return {
         name: await process.wait_or_kill(limit_s) for name, process in processes.items()
     }
-
-
-def free_ports(count: int) -> list[int]:
-    """Return `count` different TCP ports that are free now.
-
-    They are below the range of ephemeral ports, so that no outgoing connection takes
-    the port of a node that is down for a while. All are bound at the same time, which
-    makes them distinct.
-    """
-    bound = []
-    while len(bound) < count:
-        port = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
-        try:
-            bound.append(socket.create_server((LOOPBACK, port)))
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE:
-                raise
-    ports = [server.getsockname()[1] for server in bound]
-    for server in bound:
-        server.close()
-    return ports
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -15,12 +15,12 @@
     EntryVm,
 )
 from bench.operator_client import OperatorClient
-from bench.processes import free_ports
 from bench.schedule import (
     Burst,
     Load,
 )
 from egretshed.registry import Registry
+from standins.ports import free_ports
 
 # Offered load as a share of the warm capacity. At 0.5, on a busy machine, the stand-ins
 # took up to 2.4 times their configured times, which left no spare capacity.
--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -3,9 +3,7 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -19,6 +17,7 @@
 from tornado.netutil import bind_sockets
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from standins.ports import free_ports
 from standins.users_platform.servers import (
     ServerState,
     server_application,
@@ -37,7 +36,6 @@
 PORTS_PER_NODE = 5
 CONNECTION_CLOSED = 599
 FAULT_EVENTS = frozenset({"task_failed", "request_fault", "invariant_violated"})
-LISTEN_PORTS = (11_000, 31_000)
 LOG_TAIL_BYTES = 2_000
 
 
@@ -103,25 +101,6 @@
     }
 
 
-def free_ports(count: int) -> list[int]:
-    """Return `count` different ports that are not bound.
-
-    They lie below the kernel's range of ephemeral ports, so that no outgoing connection
-    takes one before a node listens on it.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.SystemRandom().randrange(*LISTEN_PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        if port not in found:
-            found.append(port)
-    return found
-
-
 class ClosedResponse(NamedTuple):
     """Substitute for a response whose connection was closed before it was complete."""
 
@@ -166,8 +145,6 @@
         for server in self.servers.values():
             server.address = f"{HOST}:{self._listen(server_application(server))}"
             self.store.put_json(SERVER_TABLE, server.server_id, server.entry())
-        # All ports are chosen in one call: until a node has bound its own, a second
-        # call could return them again.
         ports = free_ports(PORTS_PER_NODE * self.node_count)
         for number in range(self.node_count):
             first = number * PORTS_PER_NODE
