Follow tables only once the readers of the store are known

Cause: until a starting node knew its peers, it long-polled the store for both tables. Ruled out: reading the tables only after the peers are known. It would save two more calls a node, but a start would wait for the join and the full read in turn. Change: TableSource reads a table once and waits with its changes until the membership has started; a node that has loaded a table asks a reader first. Test: follower.feature, "Peers are known ... after the start"; before, 31, 14 and 42 calls of a node where 1 is allowed.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -14,6 +14,7 @@
     SLOW_LINK_MBPS,
     PeerTableSync,
 )
+from egretshed.feeds.table_source import TableSource
 from egretshed.ingress.endpoints import NodeEndpoints
 from egretshed.ingress.server import RequestServer
 from egretshed.logs import (
@@ -27,10 +28,7 @@
 from egretshed.placement.engines import EnginePlacer
 from egretshed.platform.headers import HEADERS
 from egretshed.platform.http_messages import encode_error_response
-from egretshed.platform.interface import (
-    ChangeFeed,
-    Platform,
-)
+from egretshed.platform.interface import Platform
 from egretshed.platform.records import (
     MalformedRecord,
     decode_server,
@@ -109,16 +107,16 @@
         self.connection_pool = ConnectionPool(env, HEADERS.request_id)
         self.store = RowStore(env, self.connection_pool)
         self.active_configuration = ActiveConfiguration(env)
-        self.peer_sync: PeerTableSync | None = None
+        self.table_source = TableSource(self.store)
         self.operator_table = TableFollower(
             env,
-            lambda: self._change_feed(self.operator_table),
+            lambda: self.table_source.select(self.operator_table),
             OPERATOR_TABLE,
             self.active_configuration.apply,
         )
         self.server_table = TableFollower(
             env,
-            lambda: self._change_feed(self.server_table),
+            lambda: self.table_source.select(self.server_table),
             SERVER_TABLE,
             self._apply_server_rows,
         )
@@ -183,11 +181,6 @@
             self.retry_budget,
         )
 
-    def _change_feed(self, follower: TableFollower) -> ChangeFeed:
-        if self.peer_sync is None:
-            return self.store
-        return self.peer_sync.source(follower, self.store)
-
     def _configuration(self):
         table = self.active_configuration.table
         return table.configuration if table else None
@@ -270,6 +263,7 @@
         self._build_peer_services()
         self.peers.start(self._peer_sockets)
         await self.membership.start()
+        self.table_source.connect(self.peer_sync.source)
         if has_slow_link:
             self._tasks.spawn("operators", self.operator_table.run)
         self._tasks.spawn("membership", self.membership.run)
--- a/egretshed/feeds/peer_sync.py
+++ b/egretshed/feeds/peer_sync.py
@@ -189,6 +189,9 @@
         store only every `store_retry_period_s`.
         """
         since_s = self._direct_read_since_s.get(follower.table)
+        if since_s is None and follower.is_loaded and follower.is_connected:
+            # The node read the store before it knew its peers.
+            return False
         if since_s is None:
             return self._may_read_store_at_start(now_s)
         if follower.is_connected:
--- a/egretshed/feeds/tests/follower.feature
+++ b/egretshed/feeds/tests/follower.feature
@@ -89,6 +89,21 @@
       | 200 10 10      | running | node-1 node-2        |
       | 200 10 10      | gone    | node-2 node-3        |
 
+  # Guards against a large fleet that asks the store for every change while its nodes do
+  # not know yet which of them reads the store for the others.
+  Scenario Outline: Peers are known <wait> s after the start, with <period> s between changes
+    Given 3 nodes that follow a store table with rows a=1 b=2
+    When peers are known <wait> s after the start, with <period> s between changes
+    Then nodes that do not read for others called the store at most <calls> times each
+    And every node has the last change within 1 s
+
+    Examples:
+      | wait | period | calls |
+      | 0    | 0.1    | 1     |
+      | 3    | 0.1    | 1     |
+      | 3    | 1      | 1     |
+      | 10   | 0.5    | 1     |
+
   # Guards against full reads in a tight loop from a store that loses its history again
   # after each of them.
   Scenario: The store keeps losing its history
--- a/egretshed/feeds/tests/steps/peer_sync_steps.py
+++ b/egretshed/feeds/tests/steps/peer_sync_steps.py
@@ -9,6 +9,7 @@
 from egretshed.errors import PlatformUnavailable
 from egretshed.feeds.follower import TableFollower
 from egretshed.feeds.peer_sync import PeerTableSync
+from egretshed.feeds.table_source import TableSource
 from egretshed.feeds.tests.steps.follower_steps import FakeFeed
 from egretshed.gen.messages.ttypes import TableRows
 from standins.clock import ManualClock
@@ -61,6 +62,7 @@
         self.feed = feed
         self.is_refusing = is_refusing
         self.full_reads = 0
+        self.calls = 0
 
     def _check(self):
         if self.is_refusing:
@@ -68,11 +70,13 @@
 
     async def read_table(self, table, part=""):
         self._check()
+        self.calls += 1
         self.full_reads += 1
         return await self.feed.read_table(table, part)
 
     async def changes(self, table, after, wait_s):
         self._check()
+        self.calls += 1
         found = await self.feed.changes(table, after, min(wait_s, 0.2))
         self._check()
         return found
@@ -88,20 +92,25 @@
         self.env = make_environment(clock, name, settings=settings)
         self.peers = network.attach(self.env)
         self.store = NodeStore(feed, False)
+        self.table_source = TableSource(self.store)
         self.follower = TableFollower(
             self.env,
-            lambda: self.peer_sync.source(self.follower, self.store),
+            lambda: self.table_source.select(self.follower),
             TABLE,
             lambda rows, is_whole: None,
         )
-        owners = FakeOwners(name, reader)
-        self.peer_sync = PeerTableSync(
-            self.env, self.peers, owners, {TABLE: self.follower}
+        self.owners = FakeOwners(name, reader)
+        self.tasks = []
+
+    def follow_store(self):
+        self.tasks.append(asyncio.create_task(self.follower.run()))
+
+    def join_peers(self):
+        peer_sync = PeerTableSync(
+            self.env, self.peers, self.owners, {TABLE: self.follower}
         )
-        self.tasks = [
-            asyncio.create_task(self.follower.run()),
-            asyncio.create_task(self.peer_sync.run()),
-        ]
+        self.table_source.connect(peer_sync.source)
+        self.tasks.append(asyncio.create_task(peer_sync.run()))
 
     def stop(self):
         for task in self.tasks:
@@ -111,6 +120,13 @@
         return {key: row.value for (_, key), row in self.follower.rows.items()}
 
 
+def start_node(name, network, feed, link_mbps=1000.0, reader=""):
+    node = FollowingNode(name, network, feed, link_mbps, reader)
+    node.join_peers()
+    node.follow_store()
+    return node
+
+
 @given("3 nodes that follow a store table with rows a=1 b=2")
 def three_nodes(context):
     context.clock = ManualClock()
@@ -128,7 +144,7 @@
 def every_node_has(context, limit, rows):
     async def run_scenario():
         network = RecordingNetwork(context.clock)
-        nodes = {name: FollowingNode(name, network, context.feed) for name in NAMES}
+        nodes = {name: start_node(name, network, context.feed) for name in NAMES}
         await context.clock.advance(1.0)
         for name in NAMES[1:]:
             nodes[name].store.is_refusing = True
@@ -140,7 +156,7 @@
             context.feed.write("a", VALUES.get(change[2:7], change[2:3].encode()))
         if restart:
             nodes["node-1"].stop()
-            nodes["node-1"] = FollowingNode("node-1", network, context.feed)
+            nodes["node-1"] = start_node("node-1", network, context.feed)
         await context.clock.advance(limit)
         ended = [task for node in nodes.values() for task in node.tasks if task.done()]
         found = {name: node.values() for name, node in nodes.items()}
@@ -167,7 +183,7 @@
     async def run_scenario():
         network = RecordingNetwork(context.clock)
         nodes = {
-            name: FollowingNode(name, network, context.feed, float(link), "node-2")
+            name: start_node(name, network, context.feed, float(link), "node-2")
             for name, link in zip(NAMES, links.split(), strict=True)
         }
         if state == "gone":
@@ -193,6 +209,43 @@
     assert all(values == expected for _, values in context.started.values())
 
 
+@when("peers are known {wait:g} s after the start, with {period:g} s between changes")
+def start_before_peers(context, wait, period):
+    async def run_scenario():
+        network = RecordingNetwork(context.clock)
+        nodes = [
+            FollowingNode(name, network, context.feed, reader="node-1")
+            for name in NAMES
+        ]
+        for node in nodes:
+            node.follow_store()
+        change_count = round(wait / period)
+        for number in range(change_count):
+            await context.clock.advance(period)
+            context.feed.write("a", str(number).encode())
+        for node in nodes:
+            node.join_peers()
+        await context.clock.advance(1.0)
+        found = [(node.store.calls, node.values()) for node in nodes]
+        for node in nodes:
+            node.stop()
+        return found
+
+    context.started = asyncio.run(run_scenario())
+
+
+@then("nodes that do not read for others called the store at most {most:d} times each")
+def called_store(context, most):
+    calls = [calls for calls, _ in context.started[1:]]
+    assert max(calls) <= most, calls
+
+
+@then("every node has the last change within 1 s")
+def has_last_change(context):
+    expected = {key: row.value for key, row in context.feed.rows.items()}
+    assert all(values == expected for _, values in context.started), context.started
+
+
 @given('a node that follows the readers "{readers}"')
 def follows_readers(context, readers):
     context.readers = readers.split()
