Never deny a run that a claim or a reset connection leaves open

Ruled out: a table that is down for a fresh id. Nothing is known of an earlier submission then, and callers mark resubmissions. Change: EarlierSubmissionMayHaveRun for taken claims; the backlog limits new runs only; only errors before a connection count as not sent; discarded outcomes are not cached.

--- a/egretshed/claims/outcome_writer.py
+++ b/egretshed/claims/outcome_writer.py
@@ -40,17 +40,23 @@
 
 
 class OutcomeWriter:
-    """Queue of outcomes to be stored; calls `on_stored` for each one that is."""
+    """Queue of outcomes to be stored.
+
+    Calls `on_stored` for each one that is, and `on_discarded` for one whose row belongs
+    to another claim.
+    """
 
     def __init__(
         self,
         env: Environment,
         platform: Platform,
         on_stored: Callable[[TrackedClaim], None],
+        on_discarded: Callable[[TrackedClaim], None],
     ):
         self._env = env
         self._platform = platform
         self._on_stored = on_stored
+        self._on_discarded = on_discarded
         self._queue: dict[str, TrackedClaim] = {}
         self._queue_bytes = 0
         self._has_queued = asyncio.Event()
@@ -110,6 +116,7 @@
             return
         for tracked in group:
             self._remove(tracked)
+            self._on_stored(tracked)
 
     async def _row_value(self, tracked: TrackedClaim) -> dict:
         if len(tracked.body) <= MAX_ROW_OUTCOME_BYTES:
@@ -138,12 +145,13 @@
             )
         except InvariantViolated:
             self._remove(tracked)
+            self._on_discarded(tracked)
             return
         tracked.version = row.version
         if is_done(row):
             self._remove(tracked)
+            self._on_stored(tracked)
 
     def _remove(self, tracked: TrackedClaim) -> None:
         del self._queue[tracked.claim.key]
         self._queue_bytes -= len(tracked.body)
-        self._on_stored(tracked)
--- a/egretshed/claims/service.py
+++ b/egretshed/claims/service.py
@@ -31,6 +31,7 @@
 from egretshed.errors import (
     AlreadyClaimed,
     ClaimsUnavailable,
+    EarlierSubmissionMayHaveRun,
     NotRun,
     OutcomeUnknown,
     PlatformUnavailable,
@@ -75,7 +76,9 @@
         self._claim_writer = ClaimWriter(
             env, platform, self._on_acquired, self._on_taken, self._on_undecided
         )
-        self._outcome_writer = OutcomeWriter(env, platform, self._on_stored)
+        self._outcome_writer = OutcomeWriter(
+            env, platform, self._on_stored, self._on_discarded
+        )
 
     async def run(self) -> None:
         """Write claims and outcomes until cancelled."""
@@ -101,11 +104,10 @@
         """Return a claim to run the request; at most one caller ever gets it.
 
         Raises `AlreadyClaimed` (with the outcome, if known), `ClaimsUnavailable` (this
-        submission does not run), and for issued ids `InvalidRequest` or
-        `OutcomeUnknown` (field `node_id`: the node to submit to, unless it has ended).
+        submission does not run), `EarlierSubmissionMayHaveRun` (nor does it, but the id
+        was claimed before), and for issued ids `InvalidRequest` or `OutcomeUnknown`
+        (field `node_id`: the node to submit to, unless it has ended).
         """
-        if self._outcome_writer.is_full:
-            raise _claims_unavailable("outcome_backlog")
         issued = self._issued_ids.parse(customer_id, request_id)
         if issued is not None:
             return await self._claim_issued(customer_id, request_id, issued)
@@ -159,7 +161,13 @@
         read = await self._read(key)
         return read if read or issued is None else self._issued_outcome(issued)
 
+    def _require_outcome_capacity(self) -> None:
+        """Raise `ClaimsUnavailable` if the outcome of a new run could not be kept."""
+        if self._outcome_writer.is_full:
+            raise _claims_unavailable("outcome_backlog")
+
     async def _claim_in_table(self, claim: Claim) -> Claim:
+        self._require_outcome_capacity()
         if len(self._pending) >= MAX_UNDECIDED_CLAIMS:
             raise _claims_unavailable("too_many_undecided")
         tracked = TrackedClaim(claim, TrackedClaimState.WRITING, ABSENT_VERSION)
@@ -171,28 +179,36 @@
         if pending.decided.exception() is not None:
             raise _claims_unavailable("table_unavailable")
         row = pending.decided.result()
-        if row is not None:
-            raise _already_claimed(await self._resolve(row))
-        return self._grant(tracked)
+        if row is None:
+            return self._grant(tracked)
+        try:
+            stored_outcome = await self._reader.resolve(row)
+        except PlatformUnavailable as error:
+            raise _may_have_run("outcome_unreadable") from error
+        raise _already_claimed(stored_outcome)
 
     def _grant(self, tracked: TrackedClaim) -> Claim:
         """Hand out an idle claim; its change of state ensures that it happens once."""
         if tracked.state is not TrackedClaimState.IDLE:
             raise _already_claimed(self._tracked_outcome(tracked))
+        self._require_outcome_capacity()
         tracked.state = TrackedClaimState.RUNNING
         return tracked.claim
 
     async def _claim_issued(
         self, customer_id: str, request_id: str, issued: IssuedId
     ) -> Claim:
-        if self._issued_ids.is_local(issued) and self._issued_ids.mark_used(issued):
+        is_local = self._issued_ids.is_local(issued)
+        if is_local and not self._issued_ids.is_used(issued):
+            self._require_outcome_capacity()
+        if is_local and self._issued_ids.mark_used(issued):
             claim = self._new_claim(customer_id, request_id)._replace(issued=True)
             self._tracked[claim.key] = TrackedClaim(
                 claim, TrackedClaimState.RUNNING, ABSENT_VERSION
             )
             return claim
-        if self._issued_ids.is_local(issued):
-            raise _already_claimed(await self.outcome(customer_id, request_id))
+        if is_local:
+            raise _already_claimed(await self._used_id_outcome(customer_id, request_id))
         if self._is_alive(issued.node_id, issued.incarnation):
             # Not `NotRun`, since the issuing node may have run the request already.
             raise OutcomeUnknown(
@@ -202,6 +218,14 @@
             )
         await self._refuse_issued_by_ended_node(customer_id, request_id, issued)
 
+    async def _used_id_outcome(
+        self, customer_id: str, request_id: str
+    ) -> StoredOutcome:
+        try:
+            return await self.outcome(customer_id, request_id)
+        except ClaimsUnavailable as error:
+            raise _may_have_run("outcome_unreadable") from error
+
     async def _refuse_issued_by_ended_node(
         self, customer_id: str, request_id: str, issued: IssuedId
     ) -> None:
@@ -238,12 +262,6 @@
         except PlatformUnavailable as error:
             raise _claims_unavailable("table_unavailable") from error
 
-    async def _resolve(self, row: Row) -> StoredOutcome:
-        try:
-            return await self._reader.resolve(row)
-        except PlatformUnavailable as error:
-            raise _claims_unavailable("table_unavailable") from error
-
     def _new_claim(self, customer_id: str, request_id: str) -> Claim:
         identity = self._env.identity
         return Claim(
@@ -291,6 +309,9 @@
         del self._tracked[tracked.claim.key]
         self._stored_outcomes.add(tracked.claim, tracked.body)
 
+    def _on_discarded(self, tracked: TrackedClaim) -> None:
+        del self._tracked[tracked.claim.key]
+
     async def _maintain_claims(self) -> None:
         """Retry undecided claims and close idle ones until cancelled."""
         while True:
@@ -345,3 +366,11 @@
         reason=reason,
         retry_after_s=RETRY_AFTER_S,
     )
+
+
+def _may_have_run(reason: str) -> EarlierSubmissionMayHaveRun:
+    return EarlierSubmissionMayHaveRun(
+        "the request id was claimed before, and its outcome cannot be read",
+        reason=reason,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/egretshed/claims/tests/claims.feature
+++ b/egretshed/claims/tests/claims.feature
@@ -65,6 +65,32 @@
       | it has a wrong MAC    | n1 | invalid_request         |
       | customer d submits it | n1 | invalid_request         |
 
+  # Guards against a caller that is told that its request did not run although a claim
+  # proves that it may have, when only the outcome cannot be read.
+  Scenario Outline: <first>, then <fault>, then <id> is submitted at <at>: <answer>
+    Given nodes n1 and n2 that share one table
+    When <first>
+    And <fault>
+    Then claiming <id> at <at> gives "<answer>"
+
+    Examples:
+      | first                             | fault                         | id            | at | answer                  |
+      | n1 ran "r1" with a large outcome  | the stored objects are lost   | "r1"          | n2 | unknown                 |
+      | n1 ran an issued id               | n1's outcome cache overflows  | the issued id | n1 | already_claimed done    |
+      | n1 ran an issued id               | its outcome cannot be read    | the issued id | n1 | unknown                 |
+      | n1 claims "r1"                    | n1's outcome backlog is full  | "r1"          | n1 | already_claimed running |
+      | n1 claims an issued id            | n1's outcome backlog is full  | the issued id | n1 | already_claimed running |
+      | nothing happens                   | n1's outcome backlog is full  | "r1"          | n1 | not_run                 |
+      | n1 issues an id                   | n1's outcome backlog is full  | the issued id | n1 | not_run                 |
+
+  # Guards against a discarded outcome that counts as the stored one.
+  Scenario: The row of a claim belongs to another claim
+    Given nodes n1 and n2 that share one table
+    When n1 claims "r1"
+    And the row of "r1" is replaced by that of another claim
+    And n1 stores the outcome
+    Then claiming "r1" at n1 gives "already_claimed unknown"
+
   # Guards against outcomes that are lost in an outage or replaced by a second one.
   Scenario: An outcome survives an outage and is written once
     Given nodes n1 and n2 that share one table
--- a/egretshed/claims/tests/steps/claims_steps.py
+++ b/egretshed/claims/tests/steps/claims_steps.py
@@ -13,12 +13,21 @@
 from delayed_table import DelayedWriteTable  # noqa: E402
 
 from egretshed.claims.issued_ids import NumberRanges  # noqa: E402
-from egretshed.claims.records import MAX_ROW_OUTCOME_BYTES  # noqa: E402
+from egretshed.claims.outcome_writer import MAX_BACKLOG_BYTES  # noqa: E402
+from egretshed.claims.records import (  # noqa: E402
+    MAX_ROW_OUTCOME_BYTES,
+    Claim,
+    claimed_row_value,
+)
 from egretshed.claims.service import ClaimService  # noqa: E402
+from egretshed.claims.tracked_claims import (  # noqa: E402
+    STORED_OUTCOMES_LIMIT_BYTES,
+)
 from egretshed.errors import (  # noqa: E402
     EgretshedError,
     InvariantViolated,
 )
+from egretshed.platform.interface import Write  # noqa: E402
 from standins.clock import ManualClock  # noqa: E402
 from standins.environments import make_environment  # noqa: E402
 from standins.memory_platform import MemoryPlatform  # noqa: E402
@@ -197,6 +206,60 @@
     context.nodes.memory.down = True
 
 
+@when("n1 issues an id")
+def issues_id(context):
+    context.issued = context.nodes.services["n1"].issue_ids("c", 1)[0]
+
+
+@when("n1 claims an issued id")
+def claims_issued(context):
+    issues_id(context)
+    claims(context, "n1", context.issued)
+
+
+@when("n1 ran an issued id")
+def ran_issued(context):
+    claims_issued(context)
+    store(context, "n1", {"ok": True})
+
+
+@when('n1 ran "{request_id}" with a large outcome')
+def ran_with_large_outcome(context, request_id):
+    claims(context, "n1", request_id)
+    stores_large(context, "n1")
+
+
+@when("the stored objects are lost")
+def objects_lost(context):
+    context.nodes.memory.core.objects.clear()
+
+
+@when("n1's outcome cache overflows")
+def cache_overflows(context):
+    claims(context, "n1", "large")
+    store(context, "n1", {"text": "x" * STORED_OUTCOMES_LIMIT_BYTES})
+
+
+@when("its outcome cannot be read")
+def outcome_unreadable(context):
+    cache_overflows(context)
+    context.nodes.memory.down = True
+
+
+@when("n1's outcome backlog is full")
+def backlog_full(context):
+    claims(context, "n1", "huge")
+    context.nodes.memory.down = True
+    store(context, "n1", {"text": "x" * MAX_BACKLOG_BYTES})
+
+
+@when('the row of "{request_id}" is replaced by that of another claim')
+def row_replaced(context, request_id):
+    other = Claim("c", request_id, "n2", 7, "other-token")
+    write = Write(context.claim.key, claimed_row_value(other))
+    context.nodes.memory.core.table.transact([], [write])
+
+
 @when("n1 claims it")
 def claims_it(context):
     claims(context, "n1", context.issued)
--- a/egretshed/cli/client.py
+++ b/egretshed/cli/client.py
@@ -1,5 +1,6 @@
 """HTTP client of the nodes, which tries the given URLs in order."""
 
+import socket
 from typing import (
     Any,
     NamedTuple,
@@ -23,6 +24,8 @@
 CALL_TIMEOUT_S = 15.0
 # Lowest HTTP status that is not a success.
 MIN_FAILURE_STATUS = 300
+# Errors that occur only before a connection is established.
+NOT_SENT_ERRORS = (ConnectionRefusedError, socket.gaierror)
 
 
 class CommandFailed(Exception):
@@ -53,22 +56,19 @@
     async def call(self, method: str, path: str, body: Any) -> Any:
         """Return the decoded response of the first node that responds.
 
-        A GET is retried at the next node after any error. A POST is retried only if the
-        connection failed, since otherwise the node may have executed it.
+        A GET is retried at the next node after any error. A POST is retried only if no
+        connection was established, since otherwise the node may have executed it.
         """
         last_error: Exception | None = None
         for url in self.urls:
             request = self.build_request(url, method, path, body)
             try:
                 response = await self.env.http.fetch(request, raise_error=False)
-            except OSError as error:
+            except (OSError, HTTPClientError) as error:
                 last_error = error
-                continue
-            except HTTPClientError as error:
-                last_error = error
-                if method == "GET":
+                if method == "GET" or not may_have_been_sent(error):
                     continue
-                failure = OutcomeUnknown(f"{url} did not respond: {error.message}")
+                failure = OutcomeUnknown(f"{url} did not respond: {error}")
                 raise CommandFailed(failure.exit_status, failure.to_body()) from error
             return decode_response(response)
         failure = PeerUnavailable(
@@ -91,6 +91,14 @@
         )
 
 
+def may_have_been_sent(error: OSError | HTTPClientError) -> bool:
+    """Return whether a request that failed with `error` may have reached the node.
+
+    A connection may be reset after the node has read the request.
+    """
+    return not isinstance(error, NOT_SENT_ERRORS)
+
+
 def decode_response(response: HTTPResponse) -> Any:
     """Return the decoded body; raise `CommandFailed` for a failure or invalid JSON."""
     try:
@@ -100,6 +108,8 @@
         failure = {"error": "malformed_answer", "message": message}
         raise CommandFailed(ExitStatus.ERROR, failure) from None
     if response.code >= MIN_FAILURE_STATUS:
+        if not isinstance(body, dict):
+            body = {"error": "malformed_answer", "message": str(body)}
         raise CommandFailed(exit_status_of(body.get("error", "")), body)
     return body
 
--- a/egretshed/cli/commands/send.py
+++ b/egretshed/cli/commands/send.py
@@ -15,6 +15,7 @@
     MIN_FAILURE_STATUS,
     CommandFailed,
     decode_response,
+    may_have_been_sent,
 )
 from egretshed.cli.events import (
     EventParser,
@@ -87,11 +88,8 @@
         for url in self.session.client.urls:
             try:
                 await self._stream(url)
-            except OSError as error:
-                last_error = error
-            except HTTPClientError as error:
-                # The node may have received the request.
-                self.submitted = True
+            except (OSError, HTTPClientError) as error:
+                self.submitted |= may_have_been_sent(error)
                 last_error = error
             if self.final is not None:
                 return self._print_outcome(self.final)
--- a/egretshed/cli/tests/cli.feature
+++ b/egretshed/cli/tests/cli.feature
@@ -69,6 +69,16 @@
       | send broken --node URL --node URL     | 0      | stdout | one two             |
       | send complete --body {                | 2      | stderr | not JSON            |
 
+    Examples: the first node resets the connection after it got the request
+      | command                                | status | stream | text                 |
+      | status --node RESETS --node URL        | 0      | stdout | n1                   |
+      | send echo --node RESETS --node URL     | 0      | stdout | resubmission: True   |
+      | send echo --node URL                   | 0      | stdout | resubmission: False  |
+      | send echo --node http://127.0.0.1:1 --node URL | 0 | stdout | resubmission: False |
+      | send echo --node RESETS                | 9      | stderr | without an outcome   |
+      | domain out a --node RESETS --node URL  | 9      | stderr | did not respond      |
+      | domain out a --node http://127.0.0.1:1 --node URL | 0 | stdout | egretshed plan confirm |
+
   Scenario Outline: A plan is watched after the command <action>
     # Guards against a watch that never ends or ends with the wrong exit status.
     Given a node and declaration files
--- a/egretshed/cli/tests/steps/cli_steps.py
+++ b/egretshed/cli/tests/steps/cli_steps.py
@@ -1,5 +1,8 @@
 import asyncio
 import json
+import re
+import socket
+import struct
 import tempfile
 from pathlib import Path
 
@@ -16,6 +19,7 @@
 )
 from egretshed.operators.tests.app import OperatorApp
 from egretshed.plans.tests.fakes import declared_objects
+from standins.http_server import LOOPBACK
 
 TOKENS = ("tokens", {"tokens": ["one", " two"]})
 REFUSAL = {"error": "invalid_request", "message": "unknown kind"}
@@ -24,7 +28,8 @@
 class SubmitHandler(RequestHandler):
     """Stand-in for the submission endpoint, whose response depends on the kind.
 
-    The stream of kind `broken` is interrupted, and completed when it is resumed.
+    The stream of kind `broken` is interrupted, and completed when it is resumed. That
+    of kind `echo` tells a field of the request.
     """
 
     async def post(self):
@@ -37,6 +42,9 @@
         self.set_header("X-Stream-Id", "s1")
         is_resumed = body.get("resume") == {"stream_id": "s1", "after_sequence": 1}
         events = [] if is_resumed else [TOKENS]
+        if kind == "echo":
+            text = f"resubmission: {body['resubmission']}"
+            events = [("tokens", {"tokens": [text]})]
         if kind == "reset":
             events += [("reset", {}), TOKENS]
         for number, (event, data) in enumerate(events, 1):
@@ -52,6 +60,19 @@
         self.write(f"id: 9\nevent: final\ndata: {json.dumps(final)}\n\n")
 
 
+async def reset_after_request(reader, writer):
+    """Read a request and reset the connection."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"Content-Length: (\d+)", head)
+    if length:
+        await reader.readexactly(int(length[1]))
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
 @given("a node and declaration files")
 def start_node(context):
     context.runner = asyncio.Runner()
@@ -66,6 +87,10 @@
     context.add_cleanup(folder.cleanup)
     context.placeholders = write_files(Path(folder.name))
     context.placeholders["URL"] = context.app.url
+    server = context.runner.run(asyncio.start_server(reset_after_request, LOOPBACK, 0))
+    context.add_cleanup(server.close)
+    port = server.sockets[0].getsockname()[1]
+    context.placeholders["RESETS"] = f"http://{LOOPBACK}:{port}"
 
 
 def write_files(folder):
