Lease stage jobs, so that two owners do not start the same one

An owner of the stages that was paused for 0.2 s or more, and went on, sent the pieces of waiting jobs whose submitters had meanwhile turned to the next owner. Ruled out: the members' view. A submitter turns away after 0.2 s, long before the owner could learn it; only its confirmations tell that it waits. Change: JobLeases. After a pause longer than a submitter waits, and after the end of a lease, no further piece starts until the job is confirmed; jobs that nobody confirms and of which nothing ran are dropped.

--- a/egretshed/stage_scheduling/client.py
+++ b/egretshed/stage_scheduling/client.py
@@ -32,6 +32,10 @@
 )
 from egretshed.stage_scheduling.admission import PendingStage
 from egretshed.stage_scheduling.graph import StagePlan
+from egretshed.stage_scheduling.job_leases import (
+    ACCEPT_TIMEOUT_S,
+    CONFIRM_PERIOD_S,
+)
 from egretshed.stage_scheduling.jobs import (
     PieceFailure,
     StageJob,
@@ -40,12 +44,9 @@
 from egretshed.stage_scheduling.owner import StageOwner
 
 DUTY = "stages"
-# A healthy owner accepts within a few milliseconds; a frozen one does not.
-ACCEPT_TIMEOUT_S = 0.2
 MAX_OWNERS_TRIED = 2
-# A waiting node submits a job again, to confirm that the owner still has it, after the
-# expected time plus the margin, or after the period if that is shorter.
-CONFIRM_PERIOD_S = 0.6
+# A waiting node submits a job again, to confirm it and that the owner still has it,
+# after the expected time plus the margin, or after the period if that is shorter.
 CONFIRM_MARGIN_S = 0.2
 
 
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -42,6 +42,7 @@
     REFUSAL_PAUSE_S,
     StageCapacity,
 )
+from egretshed.stage_scheduling.job_leases import JobLeases
 from egretshed.stage_scheduling.jobs import (
     ActiveJob,
     PieceFailure,
@@ -89,6 +90,7 @@
         self.progress = ProgressTracker()
         self.capacity = StageCapacity(env, configuration, servers, self.progress)
         self._jobs: dict[JobId, ActiveJob] = {}
+        self._leases = JobLeases(env)
         self.waiting = WaitingJobs(env, self.capacity, self.progress)
         self._known_handles = KnownHandles()
         self._tasks: set[asyncio.Task] = set()
@@ -109,6 +111,7 @@
                 "unknown stage service", reason="unknown_service", retry_after_s=0.5
             )
         if job.job_id in self._jobs:
+            self._leases.confirm(job.job_id)
             return RESUBMIT_CONFIRM_S
         if job.job_id in self._finished:
             on_done(self._finished[job.job_id])
@@ -136,6 +139,7 @@
                 retry_after_s=_retry_after_s(expected_s, job.deadline_s),
             )
         self._jobs[job.job_id] = ActiveJob(job, on_done)
+        self._leases.confirm(job.job_id)
         self._log_job(job, waiting_before, expected_s, "queued")
         self._dispatch(job.service)
         return expected_s
@@ -167,6 +171,7 @@
         active = self._jobs.pop(job_id, None)
         if active is None:
             return
+        self._leases.end(job_id)
         self.waiting.remove(active.job.service, job_id)
         self.progress.drop(active.job.request_key)
         self.free(list(active.handles.values()))
@@ -193,12 +198,14 @@
         pruned_s = self.env.clock.monotonic_s()
         while True:
             await self.env.clock.sleep(REFUSAL_PAUSE_S)
+            self._leases.note_active()
             now_s = self.env.clock.monotonic_s()
             self.progress.drop_expired(now_s)
             if now_s - pruned_s >= PRUNE_PERIOD_S:
                 self.capacity.prune()
                 pruned_s = now_s
             self._fail_expired()
+            self._drop_abandoned()
             self._refuse_unattainable()
             self._dispatch_all()
 
@@ -208,6 +215,26 @@
             if waiting.deadline_at_s <= now_s:
                 self._fail(waiting.job_id, StageOutcome((), PieceFailure.TOO_LATE))
 
+    def _drop_abandoned(self) -> None:
+        """Drop jobs that nobody confirms and of whose request nothing has run.
+
+        A submitter that was only silent submits its job again. Work that has begun is
+        kept, since the submitter may still ask for it.
+        """
+        for waiting in self.waiting.all_jobs():
+            if waiting.has_begun or not self._leases.has_ended(waiting.job_id):
+                continue
+            job = self._jobs[waiting.job_id].job
+            log_event(
+                self.env.logger,
+                "stage_job_abandoned",
+                request_id=job.request_id,
+                asked_by=job.node_id,
+                service=job.service,
+                confirmed_age_s=round(self._leases.age_s(job.job_id), 3),
+            )
+            self.cancel(waiting.job_id)
+
     def _refuse_unattainable(self) -> None:
         """Refuse requests that have not begun and can no longer end in time."""
         now_s = self.env.clock.monotonic_s()
@@ -254,8 +281,9 @@
         if not available:
             return
         domains = {view.failure_domain for view in views}
+        self._leases.note_active()
         now_s = self.env.clock.monotonic_s()
-        ordered = self.waiting.startable_jobs(service, views, limits, now_s)
+        ordered = self._startable_jobs(service, views, limits, now_s)
         for view in available:
             batch = choose_batch(ordered, view, domains, limits, now_s)
             if not batch:
@@ -263,7 +291,11 @@
             self._start_call(service, view, batch, limits)
             server = self.servers.servers[view.server_id]
             views[views.index(view)] = self.capacity.view(server, limits)
-            ordered = self.waiting.startable_jobs(service, views, limits, now_s)
+            ordered = self._startable_jobs(service, views, limits, now_s)
+
+    def _startable_jobs(self, service, views, limits, now_s) -> list[WaitingJob]:
+        ordered = self.waiting.startable_jobs(service, views, limits, now_s)
+        return [job for job in ordered if self._leases.may_start(job.job_id)]
 
     def _start_call(
         self,
@@ -364,6 +396,7 @@
         self.progress.note_piece_done(job.request_key, job.stage)
         if len(active.handles) == len(job.segments):
             del self._jobs[piece.job_id]
+            self._leases.end(piece.job_id)
             handles = tuple(active.handles[s] for s in job.segments)
             self._report(active, StageOutcome(handles))
 
--- a/standins/clock.py
+++ b/standins/clock.py
@@ -46,6 +46,10 @@
         self._now_s = end_s
         await self.run_ready_tasks()
 
+    def jump(self, seconds: float) -> None:
+        """Advance the time without running a task, as if the process were paused."""
+        self._now_s += seconds
+
     async def run_ready_tasks(self) -> None:
         """Run enough passes of the event loop for every ready task to wait again."""
         for _ in range(LOOP_PASSES):
