Release a placement whose reply was lost

Cause: an owner of engines whose reply did not arrive in time counted the request as running on its engine until the deadline, while the next owner placed it elsewhere. Its estimates were too high when it was asked again. Ruled out: a repeated request with the same ticket; the next owner gets the same one, and the first owner is not asked again for it. Change: the asking node ends the placement at an owner that did not reply. Test: placement.feature, "The owner of the engines ..."; "cannot send its reply" failed.

--- a/egretshed/placement/engines.py
+++ b/egretshed/placement/engines.py
@@ -110,6 +110,10 @@
                     reply = await self.peers.call(node_id, message, REPLY_TIMEOUT_S)
                 except (PeerUnavailable, PeerRejected) as error:
                     self.owners.avoid(node_id, duty, str(error))
+                    if not query.is_dry_run:
+                        # The owner may have placed the request, and its reply was lost.
+                        note = EngineNote(ticket, query.service, has_ended=True)
+                        self.peers.send(node_id, note)
                     continue
                 server_id = reply.server_id
             if not server_id:
--- a/egretshed/placement/tests/placement.feature
+++ b/egretshed/placement/tests/placement.feature
@@ -39,6 +39,20 @@
       | 1        |
       | 4        |
 
+  # Guards against an owner that counts a placement as running although its reply was lost
+  # and the request went to the engine that the next owner chose.
+  Scenario Outline: The owner of the engines <trouble> when a request is placed
+    Given two nodes that place requests on one engine, one of them the owner
+    When the other one places a request while the owner <trouble>
+    Then the request got the engine
+    And the owner then counts <count> running requests
+
+    Examples:
+      | trouble               | count |
+      | responds              | 1     |
+      | cannot send its reply | 0     |
+      | gets no message       | 0     |
+
   # Guards against a replica that is slow or fails while it reports itself healthy, and
   # against one that still gets no requests after it has recovered.
   Scenario Outline: One of 3 replicas <trouble>
--- /dev/null
+++ b/egretshed/placement/tests/steps/owner_steps.py
@@ -0,0 +1,105 @@
+import asyncio
+import json
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from egretshed.placement.engines import (
+    EnginePlacer,
+    EngineQuery,
+)
+from egretshed.relay.request import PromptPart
+from egretshed.servers.records import (
+    ListedServer,
+    ServerAddress,
+    ServerPhase,
+)
+from egretshed.servers.registry import ServerRegistry
+from egretshed.serving.schema import (
+    EngineLimits,
+    Service,
+    ServingConfiguration,
+)
+from standins.behave_loop import run
+from standins.clock import ManualClock
+from standins.environments import make_environment
+from standins.peers import InMemoryNetwork
+
+SERVICE = "engine"
+OWNER, OTHER = "entry-1", "entry-2"
+BLOCKED_LINKS = {
+    "responds": set(),
+    "cannot send its reply": {(OWNER, OTHER)},
+    "gets no message": {(OTHER, OWNER)},
+}
+
+
+class OneOwner:
+    """Prefers one owner, and the node itself after it."""
+
+    def __init__(self, own_id):
+        self.own_id = own_id
+
+    def candidates(self, duty, count):
+        return [OWNER] if self.own_id == OWNER else [OWNER, self.own_id]
+
+    def avoid(self, node_id, duty, reason):
+        pass
+
+
+def _make_placer(network, node_id):
+    env = make_environment(network.clock, node_id)
+    registry = ServerRegistry(env, lambda _: False, lambda: False, lambda: [node_id])
+    address = ServerAddress("10.0.0.1", 80)
+    registry.apply(ListedServer("e-1", SERVICE, address, "a", ServerPhase.READY, 1))
+    service = Service(SERVICE, 99, 0.0, EngineLimits(8, 100_000), None)
+    configuration = ServingConfiguration(1, (), {SERVICE: service}, {})
+    return EnginePlacer(
+        env,
+        network.attach(env),
+        OneOwner(node_id),
+        registry,
+        lambda: configuration,
+        lambda: 1,
+    )
+
+
+def _query(request_id):
+    parts = (PromptPart("p", 1000),)
+    return EngineQuery(request_id, SERVICE, parts, 1.0, 5.0, frozenset(), {})
+
+
+@given("two nodes that place requests on one engine, one of them the owner")
+def two_nodes(context):
+    context.network = InMemoryNetwork(ManualClock())
+    context.owner = _make_placer(context.network, OWNER)
+    context.other = _make_placer(context.network, OTHER)
+
+
+@when("the other one places a request while the owner {trouble}")
+def place_request(context, trouble):
+    async def run_scenario():
+        context.network.blocked_links = BLOCKED_LINKS[trouble]
+        placing = asyncio.create_task(context.other.place(_query("r-1")))
+        await context.network.clock.advance(1.0)
+        context.placement = placing.result()
+        await context.owner.place(_query("r-2"))
+
+    run(context, run_scenario())
+
+
+@then("the request got the engine")
+def got_engine(context):
+    assert context.placement.server_id == "e-1", context.placement
+
+
+@then("the owner then counts {count:d} running requests")
+def counts_running(context, count):
+    (handler,) = context.owner.env.logger.handlers
+    lines = [json.loads(line) for line in handler.stream.getvalue().splitlines()]
+    last = [line for line in lines if line["message"] == "placement_decision"][-1]
+    assert last["request_id"] == "r-2", last
+    assert last["running"] == count, last
