--- a/egretshed/backends/http.py
+++ b/egretshed/backends/http.py
@@ -15,7 +15,10 @@
     HTTPRequest,
     HTTPResponse,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import (
+    StreamClosedError,
+    UnsatisfiableReadError,
+)
 from tornado.simple_httpclient import HTTPTimeoutError
 
 from egretshed.backends.interface import (
@@ -71,7 +74,11 @@
 
     async def load(self) -> LoadReport:
         result = await self._control("GET", "/load", None, CONTROL_TIMEOUT_S)
-        return msgspec.convert(tuple(result[f] for f in LoadReport._fields), LoadReport)
+        try:
+            values = tuple(result[field] for field in LoadReport._fields)
+            return msgspec.convert(values, LoadReport)
+        except (KeyError, msgspec.ValidationError) as error:
+            raise BackendError("backend server sent a malformed load report") from error
 
     async def cancel(self, attempt_id: str) -> bool:
         body = {"attempt_id": attempt_id}
@@ -88,12 +95,14 @@
                 "the backend server has accepted a higher fencing number", **fields
             )
         self._raise_for_status(response)
-        return OrderResult(**fields)
+        return _make_record(OrderResult, fields)
 
     async def cache_events(self, after: int) -> list[CacheEvent]:
         path = f"/cache/events?after={after}"
-        result = await self._control("GET", path, None, CONTROL_TIMEOUT_S)
-        return [CacheEvent(**event) for event in result]
+        response = await self.fetch("GET", path, None, {}, CONTROL_TIMEOUT_S)
+        self._raise_for_status(response)
+        events = _decode(response, list[dict[str, Any]])
+        return [_make_record(CacheEvent, event) for event in events]
 
     async def export_cache(self, prefix: str) -> bytes | None:
         body = {"prefix": prefix}
@@ -140,7 +149,12 @@
             connecting = "connecting" in str(error) or "queue" in str(error)
             error_type = BackendUnreachable if connecting else BackendSilent
             raise self._error(error_type, str(error), not connecting) from error
-        except (HTTPClientError, StreamClosedError, OSError) as error:
+        except (
+            HTTPClientError,
+            StreamClosedError,
+            UnsatisfiableReadError,
+            OSError,
+        ) as error:
             raise self._error(BackendUnreachable, str(error), True) from error
 
     def _error(self, error_type, reason: str, may_have_run: bool) -> BackendError:
@@ -162,14 +176,25 @@
         return decode_object(response)
 
 
-def decode_object(response: HTTPResponse) -> Any:
-    """Return the decoded JSON body; raise `BackendError` if it is not JSON."""
+def decode_object(response: HTTPResponse) -> dict[str, Any]:
+    """Return the decoded JSON object; raise `BackendError` if the body is not one."""
+    return _decode(response, dict[str, Any])
+
+
+def _decode(response: HTTPResponse, expected_type: Any) -> Any:
     try:
-        return msgspec.json.decode(response.body)
+        return msgspec.json.decode(response.body, type=expected_type)
     except msgspec.DecodeError as error:
         raise BackendError("backend server sent malformed JSON") from error
 
 
+def _make_record(record_type: Any, fields: dict[str, Any]) -> Any:
+    try:
+        return record_type(**fields)
+    except TypeError as error:
+        raise BackendError(f"backend server sent wrong fields: {error}") from error
+
+
 async def await_with_progress_limit(
     backend: HttpBackend,
     work: asyncio.Future,
@@ -190,14 +215,14 @@
 
 
 class Progress:
-    """Measures the time since data last arrived on a call."""
+    """Measures the time since a call last made progress."""
 
     def __init__(self, env: Environment):
         self.clock = env.clock
-        self.last_data_s = env.clock.monotonic_s()
+        self.last_progress_s = env.clock.monotonic_s()
 
     def reset(self) -> None:
-        self.last_data_s = self.clock.monotonic_s()
+        self.last_progress_s = self.clock.monotonic_s()
 
     def idle_s(self) -> float:
-        return self.clock.monotonic_s() - self.last_data_s
+        return self.clock.monotonic_s() - self.last_progress_s
--- a/egretshed/callers/tests/malformed.feature
+++ b/egretshed/callers/tests/malformed.feature
@@ -93,6 +93,7 @@
     Given a finished request of the customer "val-david"
     When the customer "morin-heights" asks for its <what>
     Then it gets status 404 and the error "not_found"
+    And its own customer gets it with status 200
 
     # Guards against a violation of P1: a response that is given to another customer.
     Examples:
@@ -100,6 +101,20 @@
       | stream  |
       | outcome |
 
+  # Guards against an answer of one request that is given to another with the same id, and
+  # against a resubmission that is refused because its fields have another order.
+  Scenario Outline: A request id is submitted again with <change>
+    Given a finished request with two fields
+    When it is submitted again with <change>
+    Then the second submission gets status <status> and <text>
+
+    Examples:
+      | change                     | status | text            |
+      | no change                  | 200    | complete        |
+      | its fields in another order | 200   | complete        |
+      | another prompt             | 400    | invalid_request |
+      | another kind               | 400    | invalid_request |
+
   # Guards against a request that is run from a truncated body.
   Scenario: A request whose connection closes within the body is not run
     When a caller announces 1000 bytes, sends 100 and closes the connection
--- a/egretshed/callers/tests/steps/caller_steps.py
+++ b/egretshed/callers/tests/steps/caller_steps.py
@@ -146,14 +146,53 @@
     stream_id = context.outcome["stream_id"]
     path = {
         "stream": f"/v1/streams/{stream_id}",
-        "outcome": "/v1/requests/finished-1",
+        "outcome": f"/v1/requests/{context.outcome['request_id']}",
     }[what]
+    context.path = path
     context.response = run(
         context,
         context.system.fetch("GET", path, headers=key_header(context, customer)),
     )
 
 
+@then("its own customer gets it with status {status:d}")
+def request_as_own_customer(context, status):
+    fetch = context.system.fetch("GET", context.path, headers=key_header(context))
+    assert run(context, fetch).code == status
+
+
+@given("a finished request with two fields")
+def finished_with_two_fields(context):
+    context.served = getattr(context.system, "twice", 0) + 1
+    context.system.twice = context.served
+    context.twice = {
+        "request_id": f"twice-{context.served}",
+        "kind": "route_question",
+        "body": {"prompt": "x", "max_tokens": 2},
+    }
+    response = submit(context, json.dumps(context.twice).encode(), key_header(context))
+    assert json.loads(response.body)["outcome"] == "complete", response.body
+
+
+@when("it is submitted again with {change}")
+def submit_again(context, change):
+    changes = {
+        "no change": {},
+        "its fields in another order": {"body": {"max_tokens": 2, "prompt": "x"}},
+        "another prompt": {"body": {"prompt": "y", "max_tokens": 2}},
+        "another kind": {"kind": "shift_assignment"},
+    }
+    body = json.dumps({**context.twice, **changes[change]}).encode()
+    context.response = submit(context, body, key_header(context))
+
+
+@then("the second submission gets status {status:d} and {text}")
+def second_submission(context, status, text):
+    body = json.loads(context.response.body)
+    assert context.response.code == status, body
+    assert text in (body.get("outcome"), body.get("error")), body
+
+
 @then('it gets status {status:d} and the error "{error}"')
 def check_refusal(context, status, error):
     body = json.loads(context.response.body)
--- a/egretshed/cli/tests/steps/cli_steps.py
+++ b/egretshed/cli/tests/steps/cli_steps.py
@@ -1,8 +1,6 @@
 import asyncio
 import json
 import re
-import socket
-import struct
 import tempfile
 from pathlib import Path
 
@@ -20,6 +18,7 @@
 from egretshed.operators.tests.app import OperatorApp
 from egretshed.plans.tests.fakes import declared_objects
 from standins.http_server import LOOPBACK
+from standins.raw_server import reset
 
 TOKENS = ("tokens", {"tokens": ["one", " two"]})
 REFUSAL = {"error": "invalid_request", "message": "unknown kind"}
@@ -66,11 +65,7 @@
     length = re.search(rb"Content-Length: (\d+)", head)
     if length:
         await reader.readexactly(int(length[1]))
-    linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, linger
-    )
-    writer.transport.abort()
+    reset(writer)
 
 
 @given("a node and declaration files")
--- a/egretshed/stage_scheduling/tests/steps/calls_steps.py
+++ b/egretshed/stage_scheduling/tests/steps/calls_steps.py
@@ -25,6 +25,10 @@
 from egretshed.upstream.pool import ConnectionPool
 from standins.behave_loop import run
 from standins.environments import make_environment
+from standins.raw_server import (
+    LateWriter,
+    start_raw_server,
+)
 
 FREE_PAUSE_S = 0.05
 REPEATED_SHARE = {"nothing": 0.0, "half": 0.5, "the whole": 1.0}
@@ -36,12 +40,7 @@
 
     async def serve(reader, writer):
         context.connections += 1
-        late = set()
-
-        async def repeat(content):
-            await asyncio.sleep(delay_s)
-            writer.write(content)
-
+        late = LateWriter(writer, delay_s)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -54,29 +53,19 @@
                 answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
                 answer += body
                 writer.write(answer)
-                copy = answer[: int(len(answer) * repeated_share)]
-                if delay_s == 0:
-                    writer.write(copy)
-                else:
-                    late.add(asyncio.create_task(repeat(copy)))
+                late.write(answer[: int(len(answer) * repeated_share)])
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            for task in late:
-                task.cancel()
-            writer.close()
-
-    async def start():
-        return await asyncio.start_server(serve, "127.0.0.1", 0)
+            late.close()
 
-    server = run(context, start())
-    context.add_cleanup(server.close)
     context.freed = []
-    context.port = server.sockets[0].getsockname()[1]
+    host, _, port = start_raw_server(context, serve).partition(":")
+    context.port = int(port)
     listed = ListedServer(
         "s",
         "stage",
-        ServerAddress("127.0.0.1", context.port),
+        ServerAddress(host, context.port),
         "a",
         ServerPhase.READY,
         1,
--- a/egretshed/upstream/tests/steps/endless_steps.py
+++ b/egretshed/upstream/tests/steps/endless_steps.py
@@ -18,6 +18,7 @@
 from egretshed.upstream.pool import ConnectionPool
 from standins.behave_loop import run
 from standins.environments import make_environment
+from standins.raw_server import start_raw_server
 
 BODY_LIMIT_BYTES = 1_000_000
 GIVE_UP_S = 20.0
@@ -61,13 +62,7 @@
             sending.cancel()
             writer.close()
 
-    async def start():
-        return await asyncio.start_server(serve, "127.0.0.1", 0)
-
-    context.server = run(context, start())
-    port = context.server.sockets[0].getsockname()[1]
-    context.address = f"127.0.0.1:{port}"
-    context.add_cleanup(context.server.close)
+    context.address = start_raw_server(context, serve)
 
 
 @given("a server that sends {part} of {size:d} bytes each {pace_ms:d} ms without end")
--- a/egretshed/upstream/tests/steps/exchange_steps.py
+++ b/egretshed/upstream/tests/steps/exchange_steps.py
@@ -1,6 +1,5 @@
 import asyncio
 import socket
-import struct
 
 from behave import (
     given,
@@ -16,9 +15,12 @@
 from egretshed.upstream.pool import ConnectionPool
 from standins.behave_loop import run
 from standins.environments import make_environment
+from standins.raw_server import (
+    RESET_ON_CLOSE,
+    start_raw_server,
+)
 
 BODY_LIMIT_BYTES = 1_000_000
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @given("a server that sends {answer} and then {ending}")
@@ -40,13 +42,7 @@
             )
         writer.close()
 
-    async def start():
-        return await asyncio.start_server(serve, "127.0.0.1", 0)
-
-    context.server = run(context, start())
-    port = context.server.sockets[0].getsockname()[1]
-    context.address = f"127.0.0.1:{port}"
-    context.add_cleanup(context.server.close)
+    context.address = start_raw_server(context, serve)
 
 
 async def _exchange(context):
--- a/egretshed/upstream/tests/steps/reuse_steps.py
+++ b/egretshed/upstream/tests/steps/reuse_steps.py
@@ -15,6 +15,10 @@
 from egretshed.upstream.pool import ConnectionPool
 from standins.behave_loop import run
 from standins.environments import make_environment
+from standins.raw_server import (
+    LateWriter,
+    start_raw_server,
+)
 
 BODY_LIMIT_BYTES = 1_000_000
 ID_HEADER = "Request-Id"
@@ -38,35 +42,20 @@
 
     async def serve(reader, writer):
         context.connections += 1
-        late = set()
-
-        async def repeat(content):
-            await asyncio.sleep(delay_s)
-            writer.write(content)
-
+        late = LateWriter(writer, delay_s)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 answer = make_answer(head, head.split(b" ")[1])
-                copy = _repeated_part(answer, extra)
-                writer.write(answer + (b"" if delay_s else copy))
+                writer.write(answer)
+                late.write(_repeated_part(answer, extra))
                 await writer.drain()
-                if delay_s:
-                    late.add(asyncio.create_task(repeat(copy)))
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            for task in late:
-                task.cancel()
-            writer.close()
-
-    async def start():
-        return await asyncio.start_server(serve, "127.0.0.1", 0)
+            late.close()
 
-    context.server = run(context, start())
-    port = context.server.sockets[0].getsockname()[1]
-    context.address = f"127.0.0.1:{port}"
-    context.add_cleanup(context.server.close)
+    context.address = start_raw_server(context, serve)
 
 
 def _answer(head: bytes, body: bytes, with_id: bool, headers: bytes = b"") -> bytes:
