Double the load of its own row in the promise checks

Cause: both rows with doubled submissions sent the ids "doubled-submissions-N" again. Change: a row repeats the ids of the load that runs. The check itself is unchanged.

--- a/egretshed/daemon/tests/steps/promise_steps.py
+++ b/egretshed/daemon/tests/steps/promise_steps.py
@@ -98,6 +98,7 @@
         self.results: dict[str, FailureResult] = {}
         self.reported_breaches: list[Breach] = []
         self.watch_task: asyncio.Task | None = None
+        self.load_name = ""
 
     async def start(self) -> None:
         await self.cluster.start()
@@ -154,7 +155,8 @@
     async def run(self, failure: str) -> FailureResult:
         """Run load under the failures in `failure`; a node stops at the same time."""
         names = failure.split(" and ")
-        load_task = asyncio.create_task(self.load(failure.replace(" ", "-")))
+        self.load_name = failure.replace(" ", "-")
+        load_task = asyncio.create_task(self.load(self.load_name))
         await asyncio.sleep(FAILURE_DELAY_S)
         await self.cluster.set_fault(COLD_ENGINE, {"cold": True})
         for name in names:
@@ -259,11 +261,11 @@
 
 
 async def resubmit(run: PromiseRun) -> None:
-    """Submit the request ids of the load again, with the nodes in reverse order."""
+    """Submit the ids of the current load again, with the nodes in reverse order."""
     driver = LoadDriver(
         SystemClock(), run.deployment, run.cluster.entry_addresses()[::-1]
     )
-    load = Load(RATE_PER_S, LOAD_DURATION_S, (), 1, "doubled-submissions")
+    load = Load(RATE_PER_S, LOAD_DURATION_S, (), 1, run.load_name)
     plan = plan_requests(run.deployment, load)
     run.resubmission_task = asyncio.create_task(driver.run(plan))
 
