Send no new work to a lapsed server once it may have left

A node whose store had been back for less than 2.5 s takes a removed entry for a lapsed one and went on sending to that server for 2 s and up to the next check, 0.5 s later; or until the end of the 2.5 s. Ruled out: a slow feed; all nodes saw the removal 2 to 5 ms after the store. Change: a lapsed server gets new work for 1.2 s while the store is connected, checked at each choice; its state is kept as long as before. While the store is away the time begins anew, so that an outage takes no server out. Test: servers.feature, "left just after an outage" failed; three rows guard live servers.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -127,6 +127,7 @@
             self.active_configuration.is_evacuated,
             self._may_have_lapsed,
             self._node_ids,
+            lambda: self.server_table.is_connected,
         )
         self.retry_budget = SharedRetryBudget(env, lambda: len(self._node_ids()))
         self.stage_owner = StageOwner(
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -21,6 +21,9 @@
 
 # Time within which a live server's lapsed entry is listed again.
 LAPSE_GRACE_S = 2.0
+# Time for which a lapsed server still gets new work while the store is connected.
+# Servers that leave must get none soon after; most live ones are back by then.
+LAPSED_WORK_S = 1.2
 
 
 class ServerRegistry:
@@ -37,11 +40,13 @@
         is_evacuated: Callable[[str], bool],
         may_have_lapsed: Callable[[], bool],
         node_ids: Callable[[], list[str]],
+        is_store_connected: Callable[[], bool] = lambda: True,
     ):
         self.env = env
         self.is_evacuated = is_evacuated
         self.may_have_lapsed = may_have_lapsed
         self.node_ids = node_ids
+        self.is_store_connected = is_store_connected
         self.servers: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
 
@@ -82,14 +87,20 @@
     def expire_lapsed(self) -> None:
         """Remove the servers whose lapsed entries were not listed again in time.
 
-        None are removed before the store has been back for long enough.
+        None are removed before the store has been back for long enough: while it is
+        away, the grace begins anew.
         """
-        if self.may_have_lapsed():
-            return
         now_s = self.env.clock.monotonic_s()
+        is_store_connected = self.is_store_connected()
         for server in list(self.servers.values()):
-            lapsed_since_s = server.lapsed_since_s
-            if lapsed_since_s is not None and now_s - lapsed_since_s >= LAPSE_GRACE_S:
+            if server.lapsed_since_s is None:
+                continue
+            if not is_store_connected:
+                server.lapsed_since_s = now_s
+            elif (
+                not self.may_have_lapsed()
+                and now_s - server.lapsed_since_s >= LAPSE_GRACE_S
+            ):
                 self._remove_server(server)
 
     def _remove_server(self, server: ServerState) -> None:
@@ -98,6 +109,12 @@
         self._by_service[server.listed.service].pop(server.server_id, None)
         self._log_change(server.listed, "gone", True)
 
+    def _may_have_left(self, server: ServerState) -> bool:
+        if server.lapsed_since_s is None or not self.is_store_connected():
+            return False
+        lapsed_s = self.env.clock.monotonic_s() - server.lapsed_since_s
+        return lapsed_s >= LAPSED_WORK_S
+
     def of_service(self, service: str) -> Iterable[ServerState]:
         """Return all listed servers of a service, whether they may get work or not."""
         return self._by_service.get(service, {}).values()
@@ -109,6 +126,7 @@
             server
             for server in self.of_service(service)
             if server.accepts_new_work(now_s)
+            and not self._may_have_left(server)
             and not self.is_evacuated(server.failure_domain)
         ]
         return self._in_regions(found, regions)
@@ -122,6 +140,7 @@
             for server in self.of_service(service)
             if not server.is_gone
             and server.listed.phase is ServerPhase.READY
+            and not self._may_have_left(server)
             and not self.is_evacuated(server.failure_domain)
         ]
         return self._in_regions(found, regions)
--- a/egretshed/servers/tests/servers.feature
+++ b/egretshed/servers/tests/servers.feature
@@ -30,6 +30,10 @@
       | lapsed while the store is away | its entry is removed while the store is doubtful | 1     |
       | lapsed for too long           | its entry is removed and does not come back       | 0     |
       | lapsed, store still away      | its entry is removed and the store stays away     | 1     |
+      | lapsed, store back            | its entry is removed just after an outage, 0.8 s ago | 1  |
+      | left just after an outage     | its entry is removed just after an outage, 1.4 s ago | 0  |
+      | listed again after an outage  | its entry is removed just after an outage and listed again | 1 |
+      | store lost again              | its entry is removed between two outages, the last 0.8 s ago | 1 |
       | domain taken out              | domain "a" is taken out                           | 0     |
       | unreachable                   | a connection to it fails                          | 0     |
       | reachable again               | a connection to it fails and 5 s pass             | 1     |
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -55,11 +55,13 @@
     context.clock = ManualClock()
     context.evacuated = set()
     context.may_have_lapsed = False
+    context.is_store_connected = True
     context.registry = ServerRegistry(
         make_environment(context.clock),
         lambda domain: domain in context.evacuated,
         lambda: context.may_have_lapsed,
         lambda: ["entry-1"],
+        lambda: context.is_store_connected,
     )
     address = ServerAddress("10.0.0.1", 80)
     context.entry = ListedServer("s1", "svc", address, "a", ServerPhase.READY, 4, 0, 5)
@@ -98,10 +100,35 @@
 @when("its entry is removed and the store stays away")
 def lapsed_and_store_away(context):
     lapsed(context)
+    _lose_store(context)
+
+
+def _lose_store(context):
+    context.is_store_connected = False
     asyncio.run(context.clock.advance(10 * LAPSE_GRACE_S))
     context.registry.expire_lapsed()
 
 
+@when("its entry is removed just after an outage, {ago_s:g} s ago")
+def removed_after_outage(context, ago_s):
+    lapsed(context)
+    asyncio.run(context.clock.advance(ago_s))
+
+
+@when("its entry is removed just after an outage and listed again")
+def listed_again(context):
+    removed_after_outage(context, LAPSE_GRACE_S)
+    context.registry.apply(context.entry)
+
+
+@when("its entry is removed between two outages, the last {ago_s:g} s ago")
+def removed_between_outages(context, ago_s):
+    lapsed(context)
+    _lose_store(context)
+    context.is_store_connected = True
+    asyncio.run(context.clock.advance(ago_s))
+
+
 @when('domain "{domain}" is taken out')
 def evacuated(context, domain):
     context.evacuated.add(domain)
