--- a/egretshed/upstream/tests/steps/reuse_steps.py
+++ b/egretshed/upstream/tests/steps/reuse_steps.py
@@ -47,9 +47,12 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 answer = make_answer(head, head.split(b" ")[1])
-                writer.write(answer)
-                late.write(_repeated_part(answer, extra))
+                copy = _repeated_part(answer, extra)
+                # Without a delay both arrive in one read.
+                writer.write(answer + (b"" if delay_s else copy))
                 await writer.drain()
+                if delay_s:
+                    late.write(copy)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
