Define JobId once, and say what progress of a call is

Cause: reading as a newcomer: JobId stood in two modules of one folder, the docstring of table_source described the start only, and two docstrings spoke of data where only tokens are progress since. No behaviour.

--- a/egretshed/backends/http.py
+++ b/egretshed/backends/http.py
@@ -201,7 +201,7 @@
     progress: "Progress",
     limit_s: float,
 ) -> Any:
-    """Return the result of `work`; raise `BackendSilent` after `limit_s` without data.
+    """Return the result of `work`; raise `BackendSilent` if it stalls for `limit_s`.
 
     `work` itself is not cancelled then.
     """
--- a/egretshed/backends/interface.py
+++ b/egretshed/backends/interface.py
@@ -13,7 +13,8 @@
 
     `attempt_id` is unique among all attempts of all requests; `payload` is the JSON
     input of the stage; `remaining_s` is the time that the stage may take;
-    `progress_limit_s` is the longest time that may pass without new data.
+    `progress_limit_s` is the longest time that may pass without new tokens, or without
+    the response of a call that makes none.
     """
 
     attempt_id: str
--- a/egretshed/feeds/table_source.py
+++ b/egretshed/feeds/table_source.py
@@ -1,4 +1,4 @@
-"""Source of the tables of a node that does not know its peers yet.
+"""Selects the source of a node's tables, before and after it knows its peers.
 
 Load pattern: all nodes of a large fleet start at the same time, and servers register
 while they do. Each such change would return the pending store call of every node that
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -42,7 +42,10 @@
     REFUSAL_PAUSE_S,
     StageCapacity,
 )
-from egretshed.stage_scheduling.job_leases import JobLeases
+from egretshed.stage_scheduling.job_leases import (
+    JobId,
+    JobLeases,
+)
 from egretshed.stage_scheduling.jobs import (
     ActiveJob,
     PieceFailure,
@@ -52,10 +55,7 @@
 )
 from egretshed.stage_scheduling.progress import ProgressTracker
 from egretshed.stage_scheduling.result_freer import ResultFreer
-from egretshed.stage_scheduling.waiting_jobs import (
-    JobId,
-    WaitingJobs,
-)
+from egretshed.stage_scheduling.waiting_jobs import WaitingJobs
 from egretshed.upstream.pool import ConnectionPool
 
 # A job fails once one of its pieces has failed this many times.
--- a/egretshed/stage_scheduling/waiting_jobs.py
+++ b/egretshed/stage_scheduling/waiting_jobs.py
@@ -20,6 +20,7 @@
     urgency_key,
 )
 from egretshed.stage_scheduling.capacity import StageCapacity
+from egretshed.stage_scheduling.job_leases import JobId
 from egretshed.stage_scheduling.progress import (
     ProgressTracker,
     RequestKey,
@@ -29,8 +30,6 @@
 ORDER_CACHE_MIN_REQUESTS = 48
 ORDER_CACHE_TTL_S = 0.04
 
-JobId = tuple[str, int]
-
 
 class WaitingJobs:
     """Queues by service; gathers the inputs of admission control and batching."""
