Log the request rate that a backend server names

Change: responses on the request path are read into ServerSignals in egretshed/platform/; server_rate_limit_changed and server_signals_total show each limit. Nothing acts on it yet.

--- a/egretshed/platform/headers.py
+++ b/egretshed/platform/headers.py
@@ -11,6 +11,7 @@
     expected_server: str = "Expect-Replica"
     server_id: str = "Replica-Id"
     server_load: str = "Replica-Load"  # running requests, waiting requests, slots
+    rate_limit: str = "Server-Limit"  # requests per second from all callers together
     signature: str = "Replica-Signature"
     not_run: str = "Not-Executed"
     cold_ms: str = "Cold-Ms"
--- a/egretshed/platform/http_messages.py
+++ b/egretshed/platform/http_messages.py
@@ -11,6 +11,7 @@
     KEY_SCHEME,
     SYSTEM_HEADERS,
 )
+from egretshed.platform.server_signals import decode_signals
 from egretshed.relay.request import (
     CallerRequest,
     ForwardFields,
@@ -106,6 +107,7 @@
             if name not in CONNECTION_HEADERS and name.lower() not in hop_by_hop
         ),
         is_encoded="Content-Encoding" in headers,
+        signals=decode_signals(headers),
     )
 
 
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -290,6 +290,8 @@
             raise ExchangeFailed(
                 "response has the id of another request", may_have_run=True
             )
+        if response.status != MISDIRECTED_STATUS:
+            self.servers.record_signals(server, response.signals)
         if response.proves_not_run:
             state.possible_executions -= 1
             if response.status == RESULTS_GONE_STATUS and state.stage_results:
--- a/egretshed/relay/request.py
+++ b/egretshed/relay/request.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from egretshed.servers.signals import ServerSignals
+
 
 class PromptPart(NamedTuple):
     """A segment of a prompt; requests with the same `part_id` share the segment."""
@@ -88,6 +90,7 @@
     load: tuple[int, int, int] | None
     headers: tuple[tuple[str, str], ...]
     is_encoded: bool = False
+    signals: ServerSignals = ServerSignals()
 
     @property
     def is_success(self) -> bool:
--- a/egretshed/relay/tests/fuzz_attempts.py
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -194,6 +194,9 @@
     def acquire_cold_permit(self, server, rate_per_s):
         return True
 
+    def record_signals(self, server, signals):
+        pass
+
     def bytes_by_domain(self, state):
         return {}
 
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -17,6 +17,10 @@
     ListedServer,
     ServerPhase,
 )
+from egretshed.servers.signals import (
+    RateLimit,
+    ServerSignals,
+)
 from egretshed.servers.state import ServerState
 
 # Time within which a live server's lapsed entry is listed again.
@@ -202,6 +206,40 @@
             now_s,
         )
 
+    def record_signals(self, server: ServerState, signals: ServerSignals) -> None:
+        """Record what a server says in a response to this node."""
+        if signals.malformed:
+            self._count_signal("malformed")
+            log_event(
+                self.env.logger,
+                "server_signal_malformed",
+                server_id=server.server_id,
+                headers=signals.malformed,
+            )
+            return
+        previous = server.rate_limit and server.rate_limit.rate_per_s
+        rate_per_s = signals.rate_limit_per_s
+        now_s = self.env.clock.monotonic_s()
+        server.rate_limit = None
+        if rate_per_s is not None:
+            server.rate_limit = RateLimit(rate_per_s, now_s)
+            self._count_signal("rate_limit")
+        if rate_per_s != previous:
+            log_event(
+                self.env.logger,
+                "server_rate_limit_changed",
+                server_id=server.server_id,
+                service=server.listed.service,
+                rate_per_s=rate_per_s,
+                previous_per_s=previous,
+                outcome="lifted" if rate_per_s is None else "limited",
+            )
+
+    def _count_signal(self, signal: str) -> None:
+        self.env.metrics.counter(
+            "server_signals_total", "Signals in responses of servers", ("signal",)
+        ).labels(signal).inc()
+
     def only_version(self, service: str, for_s: float) -> str | None:
         """Return the version that all servers had for the last `for_s` seconds.
 
--- a/egretshed/servers/state.py
+++ b/egretshed/servers/state.py
@@ -14,6 +14,7 @@
     ListedServer,
     ServerPhase,
 )
+from egretshed.servers.signals import RateLimit
 
 # Exponential backoff after failed connections, during which the server gets no work.
 BACKOFF_MIN_S = 0.4
@@ -47,6 +48,7 @@
     reported_load: tuple[int, int, int] | None = None
     reported_at_s: float = 0.0
     cold_sent_times_s: list[float] = field(default_factory=list)
+    rate_limit: RateLimit | None = None
 
     @property
     def server_id(self) -> str:
