--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import struct
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import (
@@ -80,6 +81,8 @@
 
     Events name the request and `version`, that of the server's software.
 
+    All responses have the headers in `signals`. `arrival_times_s` are monotonic.
+
     `run_counts` is by request ID, `piece_run_counts` by (request ID, stage, segment).
     """
 
@@ -101,6 +104,8 @@
     seen_headers: dict[str, dict] = field(default_factory=dict)
     crash_part: str = ""
     crash: Callable[["ServerState"], None] | None = None
+    signals: dict[str, str] = field(default_factory=dict)
+    arrival_times_s: list[float] = field(default_factory=list)
 
     def entry(self, status: str = "ready") -> dict:
         """Return the server's entry in the platform's server table."""
@@ -121,10 +126,17 @@
     return f"id: {number}\ndata: {request_id} {version}\n\n"
 
 
-class _RouteHandler(RequestHandler):
+class _ServerHandler(RequestHandler):
     def initialize(self, state: ServerState) -> None:
         self.state = state
 
+    def prepare(self) -> None:
+        self.state.arrival_times_s.append(time.monotonic())
+        for name, value in self.state.signals.items():
+            self.set_header(name, value)
+
+
+class _RouteHandler(_ServerHandler):
     async def get(self) -> None:
         await self._serve()
 
@@ -187,10 +199,11 @@
             )
         head = (
             f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
-            f"Replica-Signature: sig-{request_id}\r\n\r\n"
+            f"Replica-Signature: sig-{request_id}\r\n"
         )
+        head += "".join(f"{n}: {v}\r\n" for n, v in self.state.signals.items())
         stream = self.detach()
-        await stream.write(head.encode() + body.encode()[: end.kept_bytes])
+        await stream.write(head.encode() + b"\r\n" + body.encode()[: end.kept_bytes])
         # The bytes reach the node before the connection ends.
         await asyncio.sleep(self.state.work_s)
         if end.is_reset:
@@ -249,20 +262,14 @@
         self.state.disconnected.add(self.request.headers.get("Request-Id", ""))
 
 
-class _ReportHandler(RequestHandler):
-    def initialize(self, state: ServerState) -> None:
-        self.state = state
-
+class _ReportHandler(_ServerHandler):
     def get(self) -> None:
         self.write(
             {"queued": 0, "active": 0, "sequence": 1, "born": self.state.born_ms}
         )
 
 
-class _StageRunHandler(RequestHandler):
-    def initialize(self, state: ServerState) -> None:
-        self.state = state
-
+class _StageRunHandler(_ServerHandler):
     async def post(self) -> None:
         state = self.state
         if state.mode == "full":
@@ -287,10 +294,7 @@
         self.write({"entries": results})
 
 
-class _StageFreeHandler(RequestHandler):
-    def initialize(self, state: ServerState) -> None:
-        self.state = state
-
+class _StageFreeHandler(_ServerHandler):
     def post(self) -> None:
         handles = set(json.loads(self.request.body)["handles"])
         self.state.results -= handles
