Share the request rate that a server names among all nodes

Cause: the statement reached no decision. A node chose among servers by latency, cache and load as before. Class: what a server says of itself in a response is dropped at the boundary. Ruled out: a limit kept by each node for itself, or lost at a change of members or between placement and sending: no node kept it at any time.

Change: rendezvous hashing selects 2 + 1.5 x rate nodes, which share the whole rate evenly, so that any 4 s have at most 4 x rate + the number of nodes, below the allowed 6 x rate + 5. The owner of the stages, which alone calls its servers, has the whole rate. A limit holds for one incarnation, is lifted by a response to a later request only, and is told to all nodes, which tell each other again every 4 s, since a node that may not send hears nothing. Requests, streams that go on, stage calls and questions for a start ask for the same permit as for cold servers; results are not freed at a limited server. Where no server may be asked the request is refused. Why it works: the sum, not each node, is bounded, with no message on the request path.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -50,6 +50,7 @@
 from egretshed.relay.stages import StageRunner
 from egretshed.relay.stream_resumption import StreamResumption
 from egretshed.retries.shared_budget import SharedRetryBudget
+from egretshed.servers.limit_notices import LimitNotices
 from egretshed.servers.registry import ServerRegistry
 from egretshed.servers.start_times import ServerStartTimes
 from egretshed.serving.active_configuration import ActiveConfiguration
@@ -173,12 +174,15 @@
             lambda: self.server_table.version,
             crashes,
         )
+        LimitNotices(env, self.peers, duty_owners, self.servers)
         resumption = StreamResumption(
             env,
             self.servers,
             StreamVersions(env, self.peers, duty_owners),
             RestartCheck(
-                env, self.servers, ServerStartTimes(env, self.connection_pool)
+                env,
+                self.servers,
+                ServerStartTimes(env, self.connection_pool, self.servers),
             ),
         )
         selector = ServerSelector(env, self.servers, self.engine_placer)
--- a/egretshed/daemon/tests/rate_limits.feature
+++ b/egretshed/daemon/tests/rate_limits.feature
@@ -2,7 +2,6 @@
 
   # Guards against nodes that each respect the limit of a server, or none of it, so that
   # their sum exceeds it.
-  @known_red
   Scenario Outline: Requests for "<path>", a server of "<service>" is limited, <event>
     Given 3 entry nodes and 3 servers of each service
     And 1 server of "<service>" names a limit of <limit> requests a second
@@ -24,7 +23,6 @@
 
   # Guards against nodes that refuse requests although limited servers may take them, and
   # against requests that wait for a server that takes none.
-  @known_red
   Scenario Outline: All servers of a service are limited and get more than they take
     Given 3 entry nodes and 3 servers of each service
     And 3 servers of "<service>" name a limit of 2 requests a second
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -14,6 +14,7 @@
   ENGINE_REQUEST = 67, ENGINE_CHOICE = 68, ENGINE_NOTE = 69,
   PROMPT_CRASH = 70, PROMPT_QUARANTINE = 71,
   STREAM_VERSION = 72, STREAM_VERSION_QUERY = 73, STREAM_VERSION_REPLY = 74,
+  SERVER_RATE_LIMIT = 75,
   ACK = 50, FAILURE = 51,
 }
 
@@ -364,3 +365,10 @@
   1: optional StreamVersion beginning,
   2: optional i32 age_ms,
 }
+
+// A server names a limit for the requests of all nodes, or none (any more).
+struct ServerRateLimit {
+  1: required string server_id,
+  2: required i64 started_ms,        // Unix time at which the server started, as listed
+  3: optional double rate_per_s,     // absent if the server names no limit
+}
--- a/egretshed/platform/http_messages.py
+++ b/egretshed/platform/http_messages.py
@@ -11,7 +11,10 @@
     KEY_SCHEME,
     SYSTEM_HEADERS,
 )
-from egretshed.platform.server_signals import decode_signals
+from egretshed.platform.server_signals import (
+    MISDIRECTED,
+    decode_signals,
+)
 from egretshed.relay.request import (
     CallerRequest,
     ForwardFields,
@@ -39,7 +42,6 @@
     }
 )
 NOT_FORWARDED = CONNECTION_HEADERS | SYSTEM_HEADERS | {"Authorization"}
-MISDIRECTED = 421
 LOWEST_PRIORITY = 9
 EVENT_STREAM = "text/event-stream"
 
--- a/egretshed/platform/server_signals.py
+++ b/egretshed/platform/server_signals.py
@@ -6,10 +6,23 @@
 
 from egretshed.platform.headers import HEADERS
 from egretshed.servers.signals import ServerSignals
+from egretshed.upstream.exchange import ResponseHead
+
+MISDIRECTED = 421
 
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
 
 
+def decode_server_signals(head: ResponseHead) -> ServerSignals:
+    """Return the signals of a response that was not read in any other way.
+
+    A misdirected request is answered by another server, which says nothing here.
+    """
+    if head.status == MISDIRECTED:
+        return ServerSignals()
+    return decode_signals(head.headers)
+
+
 def decode_signals(headers: HTTPHeaders) -> ServerSignals:
     """Return the signals of a response.
 
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -129,7 +129,7 @@
             if chosen is None:
                 break
             server, placement = chosen
-            if self.servers.acquire_cold_permit(server, service.cold_requests_per_s):
+            if self.servers.acquire_send_permit(server, service.cold_requests_per_s):
                 return chosen
             # While the engine was chosen, another request took the permit.
             if placement is not None:
@@ -291,7 +291,7 @@
                 "response has the id of another request", may_have_run=True
             )
         if response.status != MISDIRECTED_STATUS:
-            self.servers.record_signals(server, response.signals)
+            self.servers.limits.record(server, response.signals, start_s)
         if response.proves_not_run:
             state.possible_executions -= 1
             if response.status == RESULTS_GONE_STATUS and state.stage_results:
--- a/egretshed/relay/restart_check.py
+++ b/egretshed/relay/restart_check.py
@@ -50,9 +50,7 @@
         """
         beginning = state.beginning
         reported_ms, first_reported_ms = await asyncio.gather(
-            self.start_times.started_ms(
-                server.server_id, server.address, self.env.clock.wall_s()
-            ),
+            self.start_times.started_ms(server, self.env.clock.wall_s()),
             self._first_server_started_ms(beginning),
         )
         current = self.servers.servers.get(server.server_id, server)
@@ -103,6 +101,4 @@
         if server is None:
             return None
         since_wall_s = (beginning.connected_ms + CLOCK_TOLERANCE_MS) / 1000
-        return await self.start_times.started_ms(
-            server.server_id, server.address, since_wall_s
-        )
+        return await self.start_times.started_ms(server, since_wall_s)
--- a/egretshed/relay/server_selection.py
+++ b/egretshed/relay/server_selection.py
@@ -89,7 +89,7 @@
             server
             for server in servers
             if server.server_id not in tried_ids
-            and self.servers.has_cold_permit(server, rate_per_s)
+            and self.servers.has_send_permit(server, rate_per_s)
         ]
         return self._with_allowed_version(state, service, found)
 
--- a/egretshed/relay/tests/fuzz_attempts.py
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -191,12 +191,16 @@
         untried = [s for s in self.servers if s.server_id not in tried_ids]
         return (untried[0], None) if untried else None
 
-    def acquire_cold_permit(self, server, rate_per_s):
-        return True
+    @property
+    def limits(self):
+        return self
 
-    def record_signals(self, server, signals):
+    def record(self, server, signals, sent_s):
         pass
 
+    def acquire_send_permit(self, server, rate_per_s):
+        return True
+
     def bytes_by_domain(self, state):
         return {}
 
--- a/egretshed/relay/tests/steps/cold_steps.py
+++ b/egretshed/relay/tests/steps/cold_steps.py
@@ -35,7 +35,7 @@
             server
             for server in self.servers.usable(service.name)
             if server.server_id not in tried_ids
-            and self.servers.has_cold_permit(server, service.cold_requests_per_s)
+            and self.servers.has_send_permit(server, service.cold_requests_per_s)
         ]
         await self.env.clock.sleep(CHOICE_S)
         usable.sort(key=lambda server: not server.server_id.startswith("cold"))
--- a/egretshed/servers/cold_rate_limit.py
+++ b/egretshed/servers/cold_rate_limit.py
@@ -7,9 +7,7 @@
 rate by a small amount, which the limit allows for.
 """
 
-from functools import lru_cache
-
-import xxhash
+from egretshed.servers.node_ranking import first_ranked_nodes
 
 # Time between requests of one selected node. Longer than 1 s, since the limit applies
 # to any interval of 1 s and the time until a request arrives varies.
@@ -17,21 +15,14 @@
 # Share of the declared rate that is used; the rest covers nodes that disagree about the
 # members.
 USED_RATE_SHARE = 0.9
-# Few servers are cold at a time, and a ranking changes only with the members.
-MAX_CACHED_RANKINGS = 128
 
 
-@lru_cache(maxsize=MAX_CACHED_RANKINGS)
 def nodes_allowed_to_send(
     server_id: str, node_ids: tuple[str, ...], rate_per_s: float
 ) -> frozenset[str]:
     """Return the nodes that may send to a cold server, by rendezvous hashing."""
     count = max(1, int(rate_per_s * USED_RATE_SHARE))
-    ranked_ids = sorted(
-        node_ids,
-        key=lambda node_id: xxhash.xxh64_intdigest(f"{server_id}/{node_id}".encode()),
-    )
-    return frozenset(ranked_ids[:count])
+    return first_ranked_nodes(server_id, node_ids, count)
 
 
 def may_send_to_cold(
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -13,14 +13,12 @@
 from egretshed.environment import Environment
 from egretshed.logs import log_event
 from egretshed.servers.cold_rate_limit import may_send_to_cold
+from egretshed.servers.rate_limits import RateLimits
+from egretshed.servers.rate_share import send_interval_s
 from egretshed.servers.records import (
     ListedServer,
     ServerPhase,
 )
-from egretshed.servers.signals import (
-    RateLimit,
-    ServerSignals,
-)
 from egretshed.servers.state import ServerState
 
 # Time within which a live server's lapsed entry is listed again.
@@ -55,6 +53,7 @@
         self.node_ids = node_ids
         self.is_store_connected = is_store_connected
         self._since_s = env.clock.monotonic_s()
+        self.limits = RateLimits(env)
         self.servers: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         # Replaced and removed entries by server id, with the time of that.
@@ -173,73 +172,64 @@
             s for s in servers if regions_by_domain.get(s.failure_domain) in regions
         ]
 
-    def acquire_cold_permit(self, server: ServerState, rate_per_s: float) -> bool:
+    def acquire_send_permit(self, server: ServerState, cold_per_s: float) -> bool:
         """Return whether this node may send a request to the server, and count it.
 
-        Always true if the server is not cold.
+        `cold_per_s` is the rate that the server takes while it is cold.
         """
+        allowed = self.has_send_permit(server, cold_per_s)
         now_s = self.env.clock.monotonic_s()
-        if not server.is_cold(now_s):
-            return True
-        identity = self.env.identity
-        allowed = may_send_to_cold(
-            server.server_id,
-            identity.node_id,
-            tuple(self.node_ids()),
-            rate_per_s,
-            server.cold_sent_times_s,
-            now_s,
-        )
         if allowed:
+            server.last_sent_s = now_s
+        if allowed and server.is_cold(now_s):
             server.cold_sent_times_s = [*server.cold_sent_times_s[-1:], now_s]
         return allowed
 
-    def has_cold_permit(self, server: ServerState, rate_per_s: float) -> bool:
-        """Return what `acquire_cold_permit` would, without counting a request."""
+    def has_send_permit(self, server: ServerState, cold_per_s: float) -> bool:
+        """Return what `acquire_send_permit` would, without counting a request."""
+        if not server.is_cold(self.env.clock.monotonic_s()) and not server.rate_limit:
+            return True
+        node_ids = tuple(self.node_ids())
+        return self._is_within_cold_rate(
+            server, cold_per_s, node_ids
+        ) and self._is_within_limit(server, node_ids)
+
+    def acquire_sole_permit(self, server: ServerState) -> bool:
+        """Return whether the only node that sends to a server may do so, and count it.
+
+        It has the whole limit of the server to itself.
+        """
+        allowed = self.has_sole_permit(server)
+        if allowed:
+            server.last_sent_s = self.env.clock.monotonic_s()
+        return allowed
+
+    def has_sole_permit(self, server: ServerState) -> bool:
+        """Return what `acquire_sole_permit` would, without counting a request."""
+        return self._is_within_limit(server, (self.env.identity.node_id,))
+
+    def _is_within_limit(self, server: ServerState, node_ids: tuple[str, ...]) -> bool:
+        limit_per_s = self.limits.limit_per_s(server)
+        if limit_per_s is None:
+            return True
+        interval_s = send_interval_s(
+            server.server_id, self.env.identity.node_id, node_ids, limit_per_s
+        )
+        return self.env.clock.monotonic_s() - server.last_sent_s >= interval_s
+
+    def _is_within_cold_rate(
+        self, server: ServerState, cold_per_s: float, node_ids: tuple[str, ...]
+    ) -> bool:
         now_s = self.env.clock.monotonic_s()
         return not server.is_cold(now_s) or may_send_to_cold(
             server.server_id,
             self.env.identity.node_id,
-            tuple(self.node_ids()),
-            rate_per_s,
+            node_ids,
+            cold_per_s,
             server.cold_sent_times_s,
             now_s,
         )
 
-    def record_signals(self, server: ServerState, signals: ServerSignals) -> None:
-        """Record what a server says in a response to this node."""
-        if signals.malformed:
-            self._count_signal("malformed")
-            log_event(
-                self.env.logger,
-                "server_signal_malformed",
-                server_id=server.server_id,
-                headers=signals.malformed,
-            )
-            return
-        previous = server.rate_limit and server.rate_limit.rate_per_s
-        rate_per_s = signals.rate_limit_per_s
-        now_s = self.env.clock.monotonic_s()
-        server.rate_limit = None
-        if rate_per_s is not None:
-            server.rate_limit = RateLimit(rate_per_s, now_s)
-            self._count_signal("rate_limit")
-        if rate_per_s != previous:
-            log_event(
-                self.env.logger,
-                "server_rate_limit_changed",
-                server_id=server.server_id,
-                service=server.listed.service,
-                rate_per_s=rate_per_s,
-                previous_per_s=previous,
-                outcome="lifted" if rate_per_s is None else "limited",
-            )
-
-    def _count_signal(self, signal: str) -> None:
-        self.env.metrics.counter(
-            "server_signals_total", "Signals in responses of servers", ("signal",)
-        ).labels(signal).inc()
-
     def only_version(self, service: str, for_s: float) -> str | None:
         """Return the version that all servers had for the last `for_s` seconds.
 
@@ -276,6 +266,13 @@
         kept = self._former.get(server_id, ())
         return [listed for replaced_s, listed in kept if replaced_s > oldest_s]
 
+    def has_limit_at(self, address: str) -> bool:
+        """Return whether a server at an address names a limit."""
+        return any(
+            server.rate_limit is not None and server.address == address
+            for server in self.servers.values()
+        )
+
     def by_address(self, service: str, address: str) -> ServerState | None:
         for server in self.of_service(service):
             if server.address == address:
--- a/egretshed/servers/state.py
+++ b/egretshed/servers/state.py
@@ -31,7 +31,9 @@
     """One incarnation of a backend server.
 
     `reported_load` holds the running and waiting requests and the slots that the server
-    last reported. Times are monotonic seconds of this node.
+    last reported. `limit_told_s` is the time of the last notice about `rate_limit`
+    between nodes, `last_sent_s` that of the last request of this node. Times are
+    monotonic seconds of this node.
     """
 
     listed: ListedServer
@@ -49,6 +51,8 @@
     reported_at_s: float = 0.0
     cold_sent_times_s: list[float] = field(default_factory=list)
     rate_limit: RateLimit | None = None
+    limit_told_s: float = -math.inf
+    last_sent_s: float = -math.inf
 
     @property
     def server_id(self) -> str:
--- a/egretshed/servers/tests/servers.feature
+++ b/egretshed/servers/tests/servers.feature
@@ -15,6 +15,52 @@
       | 65    | 10  | 0.0  | 5     | 8     |
       | 360   | 50  | 3.0  | 9.5   | 15    |
 
+  # Guards against a server in need that gets more than the rate that it names, or far
+  # less, since each node keeps to that rate or to its share of it by itself.
+  Scenario Outline: <nodes> nodes share a rate of <rate> that a server names
+    When <nodes> nodes with too many requests share a rate of <rate> for 60 s, seed <seed>
+    Then any 4 s have at most <most> requests, and the 60 s have at least <least>
+
+    # The bounds are 4 s x 1.5 x rate + 5, and four fifths of the rate.
+    Examples:
+      | nodes | rate | seed | most  | least |
+      | 1     | 1    | 1    | 11    | 48    |
+      | 3     | 0.5  | 2    | 8     | 24    |
+      | 3     | 2.5  | 3    | 20    | 120   |
+      | 7     | 1    | 4    | 11    | 48    |
+      | 20    | 1    | 5    | 11    | 48    |
+      | 20    | 12.5 | 6    | 80    | 600   |
+      | 195   | 0    | 7    | 5     | 0     |
+      | 195   | 0.5  | 8    | 8     | 24    |
+      | 195   | 1    | 9    | 11    | 48    |
+      | 195   | 40   | 10   | 245   | 1920  |
+      | 195   | 300  | 11   | 1805  | 14400 |
+
+  # Guards against a limit that is lifted by a response that overtook another one, is
+  # lost with a malformed value, or is inherited by another incarnation.
+  Scenario Outline: <case>, so that the limit is <rate>
+    Given a listed server "s1" in domain "a" at 10.0.0.1:80 started at 5
+    And it named a limit of 2 at 10 s
+    When <event>
+    Then its limit is <rate>
+
+    Examples:
+      | case                | event                                                      | rate |
+      | named again         | a response to a request sent at 9 s names 3                | 3    |
+      | overtaken           | a response to a request sent at 9 s names nothing          | 2    |
+      | lifted              | a response to a request sent at 11 s names nothing         | none |
+      | report without it   | a report asked for at 11 s names nothing                   | 2    |
+      | negative            | a response to a request sent at 11 s names -1              | 2    |
+      | not a number        | a response to a request sent at 11 s names nan             | 2    |
+      | infinite            | a response to a request sent at 11 s names inf             | 2    |
+      | given twice         | a response to a request sent at 11 s names 1,2             | 2    |
+      | empty               | a response to a request sent at 11 s names ""              | 2    |
+      | told by a node      | another node heard 1 at 12 s                               | 1    |
+      | old news            | another node heard 1 at 8 s                                | 2    |
+      | lifted for a node   | another node heard nothing at 12 s                         | none |
+      | restarted           | it is listed again with start 9                            | none |
+      | never heard again   | 60 s pass                                                  | none |
+
   # Guards against work for servers that are leaving, gone, evacuated or unreachable, and
   # against state of one incarnation that is applied to the next.
   Scenario Outline: <case>
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -1,12 +1,16 @@
 import asyncio
+import random
 
 from behave import (
     given,
     then,
     when,
 )
+from tornado.httputil import HTTPHeaders
 
+from egretshed.platform.server_signals import decode_signals
 from egretshed.servers.cold_rate_limit import may_send_to_cold
+from egretshed.servers.rate_share import send_interval_s
 from egretshed.servers.records import (
     ListedServer,
     ServerAddress,
@@ -21,6 +25,7 @@
 
 # Maximum delay until a sent request arrives.
 MAX_ARRIVAL_DELAY_S = 0.05
+START_S = ManualClock().monotonic_s()
 
 
 @when("{nodes:d} nodes try to send every {gap:d} ms for 10 s at a limit of {rate:g} /s")
@@ -161,3 +166,79 @@
 def usable_servers(context, count):
     found = context.registry.usable("svc")
     assert len(found) == count, found
+
+
+@when(
+    "{nodes:d} nodes with too many requests share a rate of {rate:g} for {for_s:d} s,"
+    " seed {seed:d}"
+)
+def share_rate(context, nodes, rate, for_s, seed):
+    """Let each node send as soon as it may, after a random delay until it arrives."""
+    rng = random.Random(seed)
+    node_ids = tuple(f"n{index}" for index in range(nodes))
+    context.times_s = []
+    for node_id in node_ids:
+        interval_s = send_interval_s("s1", node_id, node_ids, rate)
+        sent_s = rng.uniform(0, min(interval_s, for_s))
+        while sent_s < for_s and interval_s < for_s:
+            context.times_s.append(sent_s + rng.uniform(0, MAX_ARRIVAL_DELAY_S))
+            sent_s += interval_s
+
+
+@then("any 4 s have at most {most:g} requests, and the 60 s have at least {least:d}")
+def rate_is_kept(context, most, least):
+    times_s = sorted(context.times_s)
+    counts = [sum(1 for t in times_s if 0 <= t - s < 4.0) for s in times_s]
+    assert max(counts, default=0) <= most, max(counts)
+    assert len(times_s) >= least, len(times_s)
+
+
+def _advance_to(context, time_s):
+    asyncio.run(context.clock.advance(START_S + time_s - context.clock.monotonic_s()))
+
+
+@given("it named a limit of {rate:g} at {at_s:g} s")
+def named_limit(context, rate, at_s):
+    _advance_to(context, at_s)
+    server = context.registry.servers["s1"]
+    signals = decode_signals(HTTPHeaders({"Server-Limit": str(rate)}))
+    context.registry.limits.record(server, signals, START_S + at_s)
+
+
+@when("{kind} at {at_s:g} s names {value}")
+def response_names(context, kind, at_s, value):
+    headers = HTTPHeaders()
+    if value != "nothing":
+        headers.add("Server-Limit", value.strip('"'))
+    _advance_to(context, 12.0)
+    context.registry.limits.record(
+        context.registry.servers["s1"],
+        decode_signals(headers),
+        START_S + at_s,
+        may_lift="report" not in kind,
+    )
+
+
+@when("another node heard {value} at {at_s:g} s")
+def another_node_heard(context, value, at_s):
+    _advance_to(context, 12.0)
+    rate_per_s = None if value == "nothing" else float(value)
+    server = context.registry.servers["s1"]
+    context.registry.limits.learn(server, rate_per_s, 12.0 - at_s)
+
+
+@when("it is listed again with start {started:d}")
+def listed_again(context, started):
+    context.registry.apply(context.entry._replace(started_ms=started))
+
+
+@when("{seconds:d} s pass")
+def seconds_pass(context, seconds):
+    asyncio.run(context.clock.advance(seconds))
+
+
+@then("its limit is {rate}")
+def limit_is(context, rate):
+    limit_per_s = context.registry.limits.limit_per_s(context.registry.servers["s1"])
+    expected = None if rate == "none" else float(rate)
+    assert limit_per_s == expected, limit_per_s
--- a/egretshed/stage_scheduling/calls.py
+++ b/egretshed/stage_scheduling/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from enum import Enum
 
 from egretshed.environment import Environment
@@ -13,6 +14,7 @@
     encode_stage_call,
 )
 from egretshed.servers.state import ServerState
+from egretshed.upstream.exchange import ResponseHead
 from egretshed.upstream.pool import (
     ConnectionPool,
     Ownership,
@@ -81,8 +83,12 @@
     server: ServerState,
     items: list[StageItem],
     expected_s: float,
+    on_head: Callable[[ResponseHead], None] | None = None,
 ) -> tuple[CallOutcome, list[StageItemResult]]:
-    """Call a server; return the outcome and, if it answered, one result per piece."""
+    """Call a server; return the outcome and, if it answered, one result per piece.
+
+    `on_head` is called with the head of the response.
+    """
     request = encode_stage_call(server.server_id, server.address, items)
     timeout_s = expected_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_S
     try:
@@ -93,6 +99,7 @@
                 MAX_RESPONSE_BYTES,
                 reuse=True,
                 identify=lambda content: known.identify(content, len(items)),
+                on_head=on_head,
             )
         if status in OVERLOAD_STATUSES:
             return CallOutcome.FULL, []
--- a/egretshed/stage_scheduling/capacity.py
+++ b/egretshed/stage_scheduling/capacity.py
@@ -65,12 +65,17 @@
         )
 
     def views(self, service: str, limits: StageLimits) -> list[StageServerView]:
-        """Return the usable servers that did not refuse a call a moment ago."""
+        """Return the usable servers that may get a call now.
+
+        Not among them are those that refused a call a moment ago, and those of which
+        the limit that they name is used up.
+        """
         now_s = self.env.clock.monotonic_s()
         return [
             self.view(server, limits)
             for server in self.servers.usable(service)
             if now_s >= self._pause_until_s.get(server.server_id, 0.0)
+            and self.servers.has_sole_permit(server)
         ]
 
     def view(self, server: ServerState, limits: StageLimits) -> StageServerView:
@@ -104,12 +109,18 @@
         # leaving, gone or evacuated take no more work.
         servers = self.servers.usable(service)
         servers = servers or self.servers.usable_despite_failures(service)
-        speed = sum(1 / self.slowness.estimate(s.server_id) for s in servers)
-        call_s = call_time_s(limits, limits.batch_items)
-        pieces_per_s = speed * limits.slots * limits.batch_items / call_s
+        pieces_per_s = sum(self._server_pieces_per_s(s, limits) for s in servers)
         self._throughputs[service] = (now_s, pieces_per_s)
         return pieces_per_s
 
+    def _server_pieces_per_s(self, server: ServerState, limits: StageLimits) -> float:
+        call_s = call_time_s(limits, limits.batch_items)
+        calls_per_s = limits.slots / self.slowness.estimate(server.server_id) / call_s
+        limit_per_s = self.servers.limits.limit_per_s(server)
+        if limit_per_s is not None:
+            calls_per_s = min(calls_per_s, limit_per_s)
+        return calls_per_s * limits.batch_items
+
     def prune(self) -> None:
         """Drop what is counted on servers that are no longer listed."""
         listed = set(self.servers.servers)
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -14,6 +14,7 @@
 from egretshed.environment import Environment
 from egretshed.errors import NotRun
 from egretshed.logs import log_event
+from egretshed.platform.server_signals import decode_server_signals
 from egretshed.platform.stage_calls import (
     StageItem,
     StageItemResult,
@@ -95,7 +96,7 @@
         self._known_handles = KnownHandles()
         self._tasks: set[asyncio.Task] = set()
         self._finished: OrderedDict[JobId, StageOutcome] = OrderedDict()
-        self._freer = ResultFreer(env, pool, self._on_freed)
+        self._freer = ResultFreer(env, pool, self._on_freed, servers.has_limit_at)
 
     def submit(self, job: StageJob, on_done: Callable[[StageOutcome], None]) -> float:
         """Queue a job; return the expected time until it is done, in seconds.
@@ -310,6 +311,7 @@
         size_bytes = sum(piece.result_bytes for piece in batch)
         self.capacity.note_call_start(view.server_id, size_bytes)
         server = self.servers.servers[view.server_id]
+        self.servers.acquire_sole_permit(server)
         self._spawn(self._call(service, server, batch, limits, size_bytes))
 
     async def _call(self, service, server, batch, limits, size_bytes: int) -> None:
@@ -352,7 +354,14 @@
             # A job was cancelled before its call started; the others are queued again.
             return CallOutcome.NOT_SENT, []
         return await call_stage_server(
-            self.pool, self._known_handles, server, items, expected_s
+            self.pool,
+            self._known_handles,
+            server,
+            items,
+            expected_s,
+            lambda head: self.servers.limits.record(
+                server, decode_server_signals(head), now_s
+            ),
         )
 
     def _item(self, piece: ChosenPiece, now_s: float) -> StageItem:
--- a/egretshed/stage_scheduling/result_freer.py
+++ b/egretshed/stage_scheduling/result_freer.py
@@ -23,7 +23,8 @@
 class ResultFreer:
     """Frees results in batches by server.
 
-    Calls `on_freed` with the handles that a server has confirmed.
+    Calls `on_freed` with the handles that a server has confirmed. `has_limit_at` tells
+    whether the server at an address limits the requests that it takes.
     """
 
     def __init__(
@@ -31,9 +32,11 @@
         env: Environment,
         pool: ConnectionPool,
         on_freed: Callable[[list[str]], None],
+        has_limit_at: Callable[[str], bool] = lambda address: False,
     ):
         self.env = env
         self.pool = pool
+        self.has_limit_at = has_limit_at
         self.on_freed = on_freed
         self._pending: dict[str, list[str]] = defaultdict(list)
         self._tasks: set[asyncio.Task] = set()
@@ -51,6 +54,11 @@
     async def _free_at(self, address: str) -> None:
         await self.env.clock.sleep(FREE_DELAY_S)
         handles = self._pending.pop(address, [])
+        if self.has_limit_at(address):
+            # The few requests that it takes are better used for calls, and its results
+            # expire by themselves.
+            self._log_not_freed(address, handles, "server names a limit")
+            return
         request = encode_stage_free(address, handles)
         try:
             async with asyncio.timeout(FREE_TIMEOUT_S):
--- a/egretshed/upstream/pool.py
+++ b/egretshed/upstream/pool.py
@@ -98,11 +98,13 @@
         reuse: bool = False,
         timeouts: ResponseTimeouts = ResponseTimeouts(),
         identify: Callable[[bytes], Ownership] | None = None,
+        on_head: Callable[[ResponseHead], None] | None = None,
     ) -> tuple[int, bytes]:
         """Return the status and body of the response; raise `ExchangeFailed`.
 
         `identify` tells what a body proves, for servers that do not repeat the id of a
-        request. Without either the connection is not kept.
+        request. Without either the connection is not kept. `on_head` is called with the
+        head of a response, whatever becomes of its body.
         """
         request_id = ""
         if reuse and self.id_header:
@@ -114,6 +116,8 @@
         try:
             exchange.send(request)
             head = await exchange.head(timeouts.head_s)
+            if on_head is not None:
+                on_head(head)
             body = await exchange.body(timeouts.body)
             ownership = self._ownership(head, body, request_id, identify)
             if ownership is Ownership.UNKNOWN and exchange.is_reused and needs_id:
