--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -24,6 +24,11 @@
     version: int
 
 
+class StoreCopy(NamedTuple):
+    version: int
+    rows: dict[tuple[str, str, str], StoredRow]
+
+
 class RowStoreState:
     """Rows, their change history and the present fault of the store.
 
@@ -34,6 +39,7 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = 1
         self.rows: dict[tuple[str, str, str], StoredRow] = {}
         self.history: list[StoredRow] = []
         self.oldest_version = 0
@@ -58,6 +64,15 @@
         self.history.clear()
         self.oldest_version = self.version
 
+    def copy(self) -> StoreCopy:
+        return StoreCopy(self.version, dict(self.rows))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; what was written since is lost, versions are reused."""
+        self.version, self.rows = copy.version, dict(copy.rows)
+        self.era += 1
+        self.compact()
+
     def rows_of(self, table: str, part: str) -> list[StoredRow]:
         found = [r for r in self.rows.values() if (r.table, r.part) == (table, part)]
         return sorted(found, key=lambda row: row.key)
@@ -83,6 +98,7 @@
 
     async def prepare(self) -> None:
         self.state.calls += 1
+        self.set_header("Store-Era", str(self.state.era))
         self.state.calls_by_path[self.request.path] += 1
         if self.state.mode == "busy":
             self.set_status(503)
@@ -116,7 +132,7 @@
         end_s = asyncio.get_running_loop().time()
         end_s += int(self.get_argument("wait_ms")) / 1000
         while True:
-            if after < state.oldest_version:
+            if after < state.oldest_version or after > state.version:
                 self.set_status(410)
                 self.write({})
                 return
