Keep a server that leaves as leaving until it restarts

Cause: an entry of the list replaced the known state of a server, so that an older entry from a restored store would call a leaving server ready again, and it would get new work. Change: within one incarnation LEAVING stays, whatever the list says; a restart begins anew.

--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -62,10 +62,16 @@
         self._version_seen_s: dict[str, dict[str, float]] = {}
 
     def apply(self, listed: ListedServer) -> None:
-        """Apply a new or changed entry of the list."""
+        """Apply a new or changed entry of the list.
+
+        A server that leaves does so for good, even if an entry from a restored store
+        calls it ready.
+        """
         now_s = self.env.clock.monotonic_s()
         server = self.servers.get(listed.server_id)
         is_same = server is not None and _is_same_incarnation(server.listed, listed)
+        if is_same and server.listed.phase is ServerPhase.LEAVING:
+            listed = listed._replace(phase=ServerPhase.LEAVING)
         if server is None or not is_same:
             if server is not None:
                 server.is_gone = True
--- a/egretshed/servers/tests/servers.feature
+++ b/egretshed/servers/tests/servers.feature
@@ -72,6 +72,8 @@
       | case                          | event                                             | count |
       | listed                        | nothing happens                                   | 1     |
       | leaving                       | it is listed as leaving                           | 0     |
+      | leaving, then ready           | it is listed as leaving and then as ready         | 0     |
+      | left, then restarted          | it is listed as leaving and starts again at 9     | 1     |
       | gone                          | its entry is removed                              | 0     |
       | lapsed while the store is away | its entry is removed while the store is doubtful | 1     |
       | lapsed for too long           | its entry is removed and does not come back       | 0     |
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -78,6 +78,18 @@
     pass
 
 
+@when("it is listed as leaving and then as ready")
+def leaving_then_ready(context):
+    leaving(context)
+    context.registry.apply(context.entry)
+
+
+@when("it is listed as leaving and starts again at 9")
+def leaving_then_restarted(context):
+    leaving(context)
+    context.registry.apply(context.entry._replace(started_ms=9))
+
+
 @when("it is listed as leaving")
 def leaving(context):
     context.registry.apply(context.entry._replace(phase=ServerPhase.LEAVING))
