Write the rows of the nodes again after the store was restored

A node that starts after the store was restored from a copy without the rows of the nodes finds no shared key, makes a new one, and can neither find nor authenticate the others: its directory names only itself.

Cause: what the nodes keep in the store was written once and taken for lasting. Evidence: restored_store.feature, "without any row of the nodes", failed before: node-0 named 1 of 3 addresses after it was replaced. Change: nodes that see a later era in a response of the store read the list of nodes and write the missing rows that they knew, the key and the records of quarantines among them, each on the condition that it is absent. Measured: restored_store.feature 8 passed; feeds, platform, membership, quarantine features pass.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -302,6 +302,7 @@
         self._tasks.spawn("placements", self.engine_placer.run)
         self._tasks.spawn("quarantine", self.prompt_guard.run)
         self._tasks.spawn("expiry", self._expire_servers)
+        self._tasks.spawn("registration", self.registered_nodes.run)
         log_event(
             env.logger,
             "node_started",
--- a/egretshed/daemon/tests/restored_store.feature
+++ b/egretshed/daemon/tests/restored_store.feature
@@ -1,5 +1,14 @@
 Feature: Nodes follow a store that was restored from an older copy
 
+  # Guards against nodes that start after the store lost their list and their key, and
+  # can neither find nor authenticate the others.
+  Scenario: The store is restored from a copy without any row of the nodes
+    Given 3 entry nodes and 3 servers of each service
+    And a copy of the store is made without the rows of the nodes
+    When the store is away for 1 s and is restored from the copy
+    And one node is replaced
+    Then each node names the addresses of all nodes
+
   # Guards against nodes that ignore a restored store, whose versions are lower than those
   # they have seen, or that take rows of the copy for newer ones.
   Scenario Outline: The store is restored, and <event>
--- a/egretshed/daemon/tests/steps/restored_store_steps.py
+++ b/egretshed/daemon/tests/steps/restored_store_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import signal
 import time
 
 from behave import (
@@ -64,6 +65,36 @@
     run(context, asyncio.sleep(FOLLOWED_S))
 
 
+@given("a copy of the store is made without the rows of the nodes")
+def copy_without_nodes(context):
+    whole = context.fleet.store.copy()
+    rows = {
+        key: row
+        for key, row in whole.rows.items()
+        if key[0] in (OPERATOR_TABLE, SERVER_TABLE)
+    }
+    context.copy = whole._replace(rows=rows)
+
+
+@when("one node is replaced")
+def replace_node(context):
+    async def replace():
+        await asyncio.sleep(IN_FORCE_S)
+        await context.fleet.stop_node("node-0", signal.SIGKILL)
+        await context.fleet.start_node("node-0")
+        await context.fleet.wait_until_ready("node-0")
+        await asyncio.sleep(IN_FORCE_S)
+
+    run(context, replace())
+
+
+@then("each node names the addresses of all nodes")
+def names_all(context):
+    for name in context.fleet.ports:
+        addresses = run(context, context.fleet.resolve(name))
+        assert len(addresses) == len(context.fleet.ports), (name, addresses)
+
+
 @when("the store is away for {away_s:g} s and is restored from the copy")
 def restore(context, away_s):
     async def restore_store():
--- a/egretshed/membership/registered_nodes.py
+++ b/egretshed/membership/registered_nodes.py
@@ -4,10 +4,15 @@
 leaves permanently. The list holds the nodes that may exist; which of them are alive is
 determined by probes. It also holds a copy of the shared key of the nodes.
 
+A store that is restored from a copy may lack rows, the key among them. The nodes that
+read it notice that and write again what it held before.
+
 Load pattern: all VMs of a large fleet restart after a power failure. Each call to the
 store is billed, and delays a start, so a restarted node joins with a single one.
 """
 
+import asyncio
+
 import msgspec
 
 from egretshed.environment import Environment
@@ -32,6 +37,8 @@
 # packages, which a node thus gets without a further call when it joins.
 RECORD_PREFIX = "!"
 MAX_RECORD_KEY_BYTES = 200
+# A transaction holds at most 100 conditions and writes.
+MAX_ROWS_PER_WRITE = 40
 # The nodes of a new fleet find no key. Each waits for a random time up to this one and
 # reads again, so that only the first few write one.
 NEW_FLEET_WAIT_S = 1.0
@@ -59,6 +66,10 @@
         # Values of the rows that are no nodes, as last read.
         self.shared_records: dict[str, bytes] = {}
         self._own_value: bytes | None = None
+        # All rows as last read or written.
+        self._known_rows: dict[str, bytes] = {}
+        self._was_restored = asyncio.Event()
+        store.on_restored.append(self._was_restored.set)
         # The list as read by `join`, until `read` returns it.
         self._unused_list: list[ListedVm] | None = None
 
@@ -74,6 +85,8 @@
 
     async def _read_rows(self) -> list[ListedVm]:
         changes = await self.store.read_table(NODE_TABLE)
+        if not self._was_restored.is_set():
+            self._known_rows = {row.key: row.value or b"" for row in changes.rows}
         self.shared_records = {
             row.key: row.value or b""
             for row in changes.rows
@@ -161,6 +174,7 @@
         while True:
             try:
                 await self.store.write(NODE_TABLE, writes, {})
+                self._note_written(writes)
                 return
             except (PlatformUnavailable, TableOutcomeUnknown, TableConflict) as error:
                 await self._wait_after("node_not_registered", error)
@@ -176,7 +190,40 @@
         `TableOutcomeUnknown`.
         """
         await self.store.write(NODE_TABLE, [RowWrite(key, value)], {})
+        self._note_written([RowWrite(key, value)])
+
+    def _note_written(self, writes: list[RowWrite]) -> None:
+        for row in writes:
+            if row.value is None:
+                self._known_rows.pop(row.key, None)
+            else:
+                self._known_rows[row.key] = row.value
+
+    async def run(self) -> None:
+        """Write lost rows again whenever the store was restored, until cancelled."""
+        while True:
+            await self._was_restored.wait()
+            try:
+                await self._write_lost_rows()
+            except (PlatformUnavailable, TableOutcomeUnknown, TableConflict) as error:
+                await self._wait_after("lost_rows_not_written", error)
+
+    async def _write_lost_rows(self) -> None:
+        """Write the known rows that are missing; those written meanwhile are kept."""
+        present = {row.key for row in (await self.store.read_table(NODE_TABLE)).rows}
+        known = {
+            KEY_ROW: self._shared_key.encode(),
+            **self._known_rows,
+            self.env.identity.node_id: self._encode_own_row(),
+        }
+        lost = [RowWrite(k, value) for k, value in known.items() if k not in present]
+        for start in range(0, len(lost), MAX_ROWS_PER_WRITE):
+            rows = lost[start : start + MAX_ROWS_PER_WRITE]
+            await self.store.write(NODE_TABLE, rows, {row.key: 0 for row in rows})
+        log_event(self.env.logger, "lost_rows_written", rows=len(lost))
+        self._was_restored.clear()
 
     async def remove(self, node_id: str) -> None:
         """Remove a node's row; raises `PlatformUnavailable`, `TableOutcomeUnknown`."""
         await self.store.write(NODE_TABLE, [RowWrite(node_id, None)], {})
+        self._note_written([RowWrite(node_id, None)])
--- a/egretshed/platform/store.py
+++ b/egretshed/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Callable
 from typing import (
     Any,
     NamedTuple,
@@ -84,6 +85,8 @@
         self.pool = pool
         # Rises each time that the store is restored from a copy.
         self.era = 0
+        # Called when that is noticed.
+        self.on_restored: list[Callable[[], None]] = []
         self.address = env.settings.platform.url.removeprefix("http://")
 
     async def read_table(self, table: str, part: str = "") -> TableChanges:
@@ -232,6 +235,8 @@
                 log_event(
                     self.env.logger, "store_restored", era=era, previous_era=self.era
                 )
+                for callback in self.on_restored:
+                    callback()
             self.era = era
         return era
 
