Test a cut stream whose next server fails in six ways

Looked for: real nodes, one engine that cuts its streams inside an event, the other full, failing, at another's address, refusing after a run, silent after the head or before it; the bytes that callers get are decoded as chunks.

--- a/egretshed/daemon/tests/steps/streams_steps.py
+++ b/egretshed/daemon/tests/steps/streams_steps.py
@@ -20,6 +20,14 @@
 GIVE_UP_S = 12.0
 NODE = "node-0"
 STREAM_PATHS = ("/ask/", "/digest/")
+FAILING_MODES = {
+    "is full": "full",
+    "fails": "error",
+    "answers 503 after a run": "late_503",
+    "is at another's address": "other",
+    "closes after the head": "unframed_empty",
+    "loses its answers": "lost",
+}
 HEAD = (
     b"POST /book/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: up\r\n"
     b"Authorization: Token key-1\r\nDeadline-Ms: 5000\r\n"
@@ -68,6 +76,61 @@
     assert context.peak_mb - context.memory_mb <= most_mb, context.peak_mb
 
 
+@given("one engine cuts streams midway, and the other {fails}")
+def cut_then_fail(context, fails):
+    cutting, failing = (
+        s for s in context.fleet.servers.values() if s.service == "engine"
+    )
+    cutting.mode, failing.mode = "cut", FAILING_MODES[fails]
+
+
+@when("the bytes of {count:d} streams are read")
+def read_streams(context, count):
+    async def read(number):
+        port = context.fleet.ports[f"node-{number % 3}"][0]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(
+            f"POST /digest/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: s{number}\r\n"
+            "Authorization: Token key-1\r\nDeadline-Ms: 3000\r\n"
+            "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        received = await reader.read()
+        writer.close()
+        return received
+
+    async def read_all():
+        return await asyncio.gather(*(read(number) for number in range(count)))
+
+    context.received = run(context, read_all())
+
+
+@then("they hold events of their streams alone, and none ends as complete")
+def only_own_events(context):
+    begun = 0
+    for number, received in enumerate(context.received):
+        head, _, body = received.partition(b"\r\n\r\n")
+        if b" 200 " not in head.partition(b"\r\n")[0]:
+            continue
+        begun += 1
+        content, is_complete = _decode_chunks(body)
+        events = b"".join(event_text(n, f"s{number}").encode() for n in range(1, 6))
+        assert events.startswith(content), content
+        assert not is_complete, received
+    assert begun, context.received
+
+
+def _decode_chunks(body: bytes) -> tuple[bytes, bool]:
+    """Return the content of a chunked body, and whether its final chunk is there."""
+    content = b""
+    while body:
+        size, _, rest = body.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return content, True
+        content += rest[: int(size, 16)]
+        body = rest[int(size, 16) + 2 :]
+    return content, False
+
+
 @given(
     "the limits of callers are {header:d} header bytes, {body:d} body bytes and"
     " {time_s:g} s"
--- a/egretshed/daemon/tests/streams.feature
+++ b/egretshed/daemon/tests/streams.feature
@@ -52,6 +52,23 @@
       | /digest/x | engine  | all close inside an event            | 599    | 2   |
       | /digest/x | engine  | all end the chunks inside an event   | 599    | 2   |
 
+  # Guards against the text of a server's error, or its head, in the middle of a stream
+  # that another server began, and against such a stream that ends as if it were complete.
+  Scenario Outline: A stream is cut, and the server that it would go on at <fails>
+    Given 3 entry nodes and 2 servers of each service
+    And one engine cuts streams midway, and the other <fails>
+    When the bytes of 6 streams are read
+    Then they hold events of their streams alone, and none ends as complete
+
+    Examples:
+      | fails                    |
+      | is full                  |
+      | fails                    |
+      | answers 503 after a run  |
+      | is at another's address  |
+      | closes after the head    |
+      | loses its answers        |
+
   # Guards against a cut stream that an HTTP/1.0 caller takes for complete: it gets no
   # chunks, so that an orderly close would look like the end.
   Scenario Outline: An HTTP/1.0 caller reads a stream, servers: <trouble>
