Record the versions of services for nodes that start after the death of all

Cause: a stream that no node knows went on if all listed servers had one version and were older than a stream's life. Servers of another version that left without a replacement while no node was running had left no trace. Class: absence of evidence in a list that is only followed while a node runs. It stood under "What remains" of decision 0011. Evidence: versions.feature, "all nodes restart while those of v1 leave": failed before with events 3 to 8 of v2 after 1 and 2 of v1. Change: the versions of each service are one row beside the list of nodes, which a starting node reads anyhow; its owner writes it when a version comes or goes. A version that the row calls listed may have left until now, so that a stream that nobody knows is refused for a stream's life. Without a row the starts of the servers decide as before. After the death of all nodes no unknown stream goes on where two versions stay.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -60,6 +60,7 @@
 from egretshed.stage_scheduling.client import StageClient
 from egretshed.stage_scheduling.owner import StageOwner
 from egretshed.stream_versions.sharing import StreamVersions
+from egretshed.stream_versions.version_record import VersionRecord
 from egretshed.upstream.pool import ConnectionPool
 
 STDOUT_FD = 1
@@ -164,6 +165,10 @@
         self.prompt_guard = PromptGuard(
             env, self.peers, duty_owners, self.registered_nodes
         )
+        self.version_record = VersionRecord(
+            env, self.servers, duty_owners, self.registered_nodes
+        )
+        self.version_record.load()
         crashes = CrashReporter(env, self.peers, duty_owners, self.prompt_guard)
         self.engine_placer = EnginePlacer(
             env,
@@ -302,6 +307,7 @@
         self._tasks.spawn("placements", self.engine_placer.run)
         self._tasks.spawn("quarantine", self.prompt_guard.run)
         self._tasks.spawn("expiry", self._expire_servers)
+        self._tasks.spawn("versions", self.version_record.run)
         self._tasks.spawn("registration", self.registered_nodes.run)
         log_event(
             env.logger,
--- a/egretshed/daemon/tests/steps/versions_steps.py
+++ b/egretshed/daemon/tests/steps/versions_steps.py
@@ -180,7 +180,18 @@
     await context.fleet.wait_until_ready(*names)
 
 
+async def _restart_nodes_as_first_version_leaves(context):
+    names = list(context.fleet.ports)
+    await asyncio.gather(*(context.fleet.stop_node(n, signal.SIGKILL) for n in names))
+    for server in _engines(context):
+        if server.version == "v1":
+            context.fleet.store.put(SERVER_TABLE, server.server_id, None)
+    await asyncio.gather(*(context.fleet.start_node(n) for n in names))
+    await context.fleet.wait_until_ready(*names)
+
+
 EVENT_ACTIONS = {
+    "all nodes restart while those of v1 leave": _restart_nodes_as_first_version_leaves,
     "nothing": _nothing,
     "the node that began it is killed": _kill_first_node,
     "another node is silent": _pause_node,
--- a/egretshed/daemon/tests/versions.feature
+++ b/egretshed/daemon/tests/versions.feature
@@ -25,6 +25,7 @@
       | versions | event             | node   | named          | outcome    |
       | v1 v1 v2 | all nodes restart | node-1 | it             | is refused |
       | v1 v1 v1 | all nodes restart | node-1 | it             | goes on    |
+      | v1 v1 v2 | all nodes restart while those of v1 leave | node-1 | it | is refused |
       | v1 v1 v2 | nothing           | node-1 | nothing        | is refused |
       | v1 v1 v2 | nothing           | node-1 | an unknown id  | is refused |
       | v1 v1 v2 | nothing           | node-1 | itself         | is refused |
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -60,6 +60,8 @@
         self._former: dict[str, list[tuple[float, ListedServer]]] = {}
         # Times at which servers of a version were last listed, by service.
         self._version_seen_s: dict[str, dict[str, float]] = {}
+        # Services of which earlier nodes have recorded the versions.
+        self._recorded_services: set[str] = set()
 
     def apply(self, listed: ListedServer) -> None:
         """Apply a new or changed entry of the list.
@@ -240,10 +242,12 @@
         """Return the version that all servers had for the last `for_s` seconds.
 
         None if there was more than one, or no server is listed. A node that has not
-        followed the list for so long needs servers that are older instead: none of them
-        has replaced one of another version meanwhile.
+        followed the list for so long relies on the record of those before it. Where
+        nothing was recorded it needs servers that are older instead: none of them has
+        replaced one of another version meanwhile.
         """
-        if self.env.clock.monotonic_s() - self._since_s < for_s:
+        followed_s = self.env.clock.monotonic_s() - self._since_s
+        if followed_s < for_s and service not in self._recorded_services:
             oldest_ms = (self.env.clock.wall_s() - for_s) * 1000
             if any(s.listed.started_ms > oldest_ms for s in self.of_service(service)):
                 return None
@@ -253,6 +257,29 @@
         recent = {version for version, at_s in seen_s.items() if at_s > oldest_s}
         return next(iter(listed)) if len(listed) == 1 and recent <= listed else None
 
+    def note_recorded_versions(self, service: str, seen_s: dict[str, float]) -> None:
+        """Add the times at which versions were last listed, from before the start."""
+        self._recorded_services.add(service)
+        known = self._version_seen_s.setdefault(service, {})
+        for version, at_s in seen_s.items():
+            known[version] = max(at_s, known.get(version, at_s))
+
+    def recent_versions(self, for_s: float) -> dict[str, dict[str, float | None]]:
+        """Return the versions of each service in the last `for_s` seconds.
+
+        Each has the time at which it was last listed, None if it is listed now.
+        """
+        oldest_s = self.env.clock.monotonic_s() - for_s
+        found: dict[str, dict[str, float | None]] = {}
+        for service, seen_s in self._version_seen_s.items():
+            listed = {s.listed.version for s in self.of_service(service)}
+            found[service] = {
+                version: None if version in listed else at_s
+                for version, at_s in seen_s.items()
+                if version in listed or at_s > oldest_s
+            }
+        return found
+
     def _note_version(self, listed: ListedServer) -> None:
         seen_s = self._version_seen_s.setdefault(listed.service, {})
         seen_s[listed.version] = self.env.clock.monotonic_s()
