Follow servers that say that they leave or ask for a pause

Change: both are read into ServerSignals with the limit and recorded at one place. A departure holds for the incarnation, whatever the list says, and is told to all nodes once. A pause, 30 s at most, concerns the node that got it; after it the server gets one request at a time until it takes one. Where all servers of a service are paused, refusals name the end of the first pause, spread over callers. Malformed values are logged, counted and ignored, each for itself.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -50,8 +50,8 @@
 from egretshed.relay.stages import StageRunner
 from egretshed.relay.stream_resumption import StreamResumption
 from egretshed.retries.shared_budget import SharedRetryBudget
-from egretshed.servers.limit_notices import LimitNotices
 from egretshed.servers.registry import ServerRegistry
+from egretshed.servers.signal_notices import SignalNotices
 from egretshed.servers.start_times import ServerStartTimes
 from egretshed.serving.active_configuration import ActiveConfiguration
 from egretshed.serving.schema import CallerLimits
@@ -179,7 +179,7 @@
             lambda: self.server_table.version,
             crashes,
         )
-        LimitNotices(env, self.peers, duty_owners, self.servers)
+        SignalNotices(env, self.peers, duty_owners, self.servers)
         resumption = StreamResumption(
             env,
             self.servers,
--- a/egretshed/daemon/tests/steps/rate_limits_steps.py
+++ b/egretshed/daemon/tests/steps/rate_limits_steps.py
@@ -11,14 +11,15 @@
 )
 
 from standins.behave_loop import run
+from standins.users_platform.store import SERVER_TABLE
 
 WINDOW_S = 4.0
-EVENT_AT_S = 5.0
 
 
 class Answered(NamedTuple):
     status: int
     took_s: float
+    retry_after_s: float = 0.0
 
 
 @given(
@@ -32,14 +33,32 @@
         server.signals["Server-Limit"] = limit
 
 
+@given('{count:d} server of "{service}" sends "{header}" in its responses')
+def send_header(context, count, service, header):
+    found = [s for s in context.fleet.servers.values() if s.service == service]
+    context.limited = found[:count]
+    for server in context.limited:
+        name, _, value = header.partition(": ")
+        server.signals[name] = value
+
+
+@given('{count:d} full server of "{service}" sends "{header}" in its responses')
+def send_header_when_full(context, count, service, header):
+    send_header(context, count, service, header)
+    for server in context.limited:
+        server.mode = "full"
+
+
 async def _send(context, name, path, request_id):
     began_s = time.monotonic()
     try:
         response = await context.fleet.request(name, f"/{path}/x", request_id)
         status = response.code
+        retry_after_s = float(response.headers.get("Retry-After", 0))
     except OSError:
-        status = 0
-    context.answered.append(Answered(status, time.monotonic() - began_s))
+        status, retry_after_s = 0, 0.0
+    took_s = time.monotonic() - began_s
+    context.answered.append(Answered(status, took_s, retry_after_s))
 
 
 async def _restart_node(context):
@@ -57,7 +76,15 @@
         server.signals.clear()
 
 
+async def _list_again(context):
+    """List the servers as ready, with a change that the nodes see."""
+    for server in context.limited:
+        entry = {**server.entry(), "slots": 9}
+        context.fleet.store.put_json(SERVER_TABLE, server.server_id, entry)
+
+
 EVENT_ACTIONS = {
+    "it is listed again": _list_again,
     "a node restarts": _restart_node,
     "a node stops": _stop_node,
     "the limit ends": _end_limit,
@@ -79,7 +106,7 @@
             elapsed_s = time.monotonic() - context.began_s
             if elapsed_s >= for_s:
                 break
-            if elapsed_s >= EVENT_AT_S and event in EVENT_ACTIONS and not happening:
+            if elapsed_s >= for_s / 2 and event in EVENT_ACTIONS and not happening:
                 happening = asyncio.create_task(EVENT_ACTIONS[event](context))
             name = context.names[number % len(context.names)]
             tasks.add(asyncio.create_task(_send(context, name, path, f"r{number}")))
@@ -129,3 +156,17 @@
     (server,) = context.limited
     count = len(_arrivals_s(server, context.ended_s - for_s))
     assert count >= least, count
+
+
+@then("between {from_s:g} s and {to_s:g} s, it gets at most {most:d} requests")
+def at_most_between(context, from_s, to_s, most):
+    (server,) = context.limited
+    times_s = [t - context.began_s for t in server.arrival_times_s]
+    found = [round(t, 2) for t in times_s if from_s <= t < to_s]
+    assert len(found) <= most, found
+
+
+@then("the last refusals name a time to return of at least {least_s:g} s")
+def last_refusals(context, least_s):
+    refused = [a.retry_after_s for a in context.answered if a.status == 503][-10:]
+    assert refused and min(refused) >= least_s, refused
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -55,6 +55,7 @@
     STREAM_VERSION_QUERY = 73
     STREAM_VERSION_REPLY = 74
     SERVER_RATE_LIMIT = 75
+    SERVER_LEAVING = 76
     ACK = 50
     FAILURE = 51
 
@@ -5702,6 +5703,90 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ServerLeaving(object):
+    """
+    Attributes:
+     - server_id
+     - started_ms
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'started_ms',
+    )
+
+
+    def __init__(self, server_id=None, started_ms=None,):
+        self.server_id = server_id
+        self.started_ms = started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLeaving')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.server_id is None:
+            raise TProtocolException(message='Required field server_id is unset!')
+        if self.started_ms is None:
+            raise TProtocolException(message='Required field started_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -6091,5 +6176,11 @@
     (2, TType.I64, 'started_ms', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
 )
+all_structs.append(ServerLeaving)
+ServerLeaving.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -14,7 +14,7 @@
   ENGINE_REQUEST = 67, ENGINE_CHOICE = 68, ENGINE_NOTE = 69,
   PROMPT_CRASH = 70, PROMPT_QUARANTINE = 71,
   STREAM_VERSION = 72, STREAM_VERSION_QUERY = 73, STREAM_VERSION_REPLY = 74,
-  SERVER_RATE_LIMIT = 75,
+  SERVER_RATE_LIMIT = 75, SERVER_LEAVING = 76,
   ACK = 50, FAILURE = 51,
 }
 
@@ -372,3 +372,9 @@
   2: required i64 started_ms,        // Unix time at which the server started, as listed
   3: optional double rate_per_s,     // absent if the server names no limit
 }
+
+// A server has said in a response that it leaves.
+struct ServerLeaving {
+  1: required string server_id,
+  2: required i64 started_ms,        // Unix time at which the server started, as listed
+}
--- a/egretshed/platform/headers.py
+++ b/egretshed/platform/headers.py
@@ -12,6 +12,8 @@
     server_id: str = "Replica-Id"
     server_load: str = "Replica-Load"  # running requests, waiting requests, slots
     rate_limit: str = "Server-Limit"  # requests per second from all callers together
+    leaving: str = "Server-Leaving"  # 1 in all responses of a server that leaves
+    retry_after: str = "Retry-After"  # pause in seconds, of a 503 for the node it is to
     store_era: str = "Store-Era"  # rises when the store is restored from a copy
     signature: str = "Replica-Signature"
     not_run: str = "Not-Executed"
--- a/egretshed/platform/http_messages.py
+++ b/egretshed/platform/http_messages.py
@@ -13,7 +13,7 @@
 )
 from egretshed.platform.server_signals import (
     MISDIRECTED,
-    decode_signals,
+    decode_server_signals,
 )
 from egretshed.relay.request import (
     CallerRequest,
@@ -109,7 +109,7 @@
             if name not in CONNECTION_HEADERS and name.lower() not in hop_by_hop
         ),
         is_encoded="Content-Encoding" in headers,
-        signals=decode_signals(headers),
+        signals=decode_server_signals(head),
     )
 
 
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -54,6 +54,8 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 # Retry-After of requests that no server could take.
 RETRY_AFTER_S = 0.25
+# Callers that are told to return when a pause ends do so over this share of it.
+RETRY_SPREAD_SHARE = 0.25
 # A repeatable request gives up on a server that has not responded within this multiple
 # of the server's usual latency, and no sooner than the minimum.
 RESPONSE_TIMEOUT_FACTOR = 5.0
@@ -140,9 +142,17 @@
         raise NotRun(
             "no server available for the request",
             reason="no_server",
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=self._retry_after_s(service.name),
         )
 
+    def _retry_after_s(self, service: str) -> float:
+        """Return when a server may be asked again, spread over the callers."""
+        left_s = self.servers.pause_left_s(service)
+        if not left_s:
+            return RETRY_AFTER_S
+        spread = self.env.random.uniform(1.0, 1.0 + RETRY_SPREAD_SHARE)
+        return max(RETRY_AFTER_S, left_s) * spread
+
     def _report_crash(
         self,
         state: RequestState,
@@ -290,8 +300,7 @@
             raise ExchangeFailed(
                 "response has the id of another request", may_have_run=True
             )
-        if response.status != MISDIRECTED_STATUS:
-            self.servers.limits.record(server, response.signals, start_s)
+        self.servers.record_signals(server, response.signals, start_s)
         if response.proves_not_run:
             state.possible_executions -= 1
             if response.status == RESULTS_GONE_STATUS and state.stage_results:
--- a/egretshed/relay/tests/fuzz_attempts.py
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -191,13 +191,12 @@
         untried = [s for s in self.servers if s.server_id not in tried_ids]
         return (untried[0], None) if untried else None
 
-    @property
-    def limits(self):
-        return self
-
-    def record(self, server, signals, sent_s):
+    def record_signals(self, server, signals, sent_s):
         pass
 
+    def pause_left_s(self, service):
+        return 0.0
+
     def acquire_send_permit(self, server, rate_per_s):
         return True
 
--- a/egretshed/servers/rate_limits.py
+++ b/egretshed/servers/rate_limits.py
@@ -56,13 +56,11 @@
 
         Without `may_lift` the response is of a kind that need not name the limit.
         """
-        if signals.malformed:
-            self._record_malformed(server, signals)
+        if "rate_limit_per_s" in signals.malformed:
             return
         known = server.rate_limit
         now_s = self.env.clock.monotonic_s()
         if signals.rate_limit_per_s is not None:
-            self._count("rate_limit")
             limit = RateLimit(signals.rate_limit_per_s, now_s)
             self._set(server, limit, "response", 0.0)
         elif known is not None and may_lift and sent_s >= known.heard_s:
@@ -103,20 +101,6 @@
             outcome="lifted" if rate_per_s is None else "limited",
         )
 
-    def _record_malformed(self, server: ServerState, signals: ServerSignals) -> None:
-        self._count("malformed")
-        log_event(
-            self.env.logger,
-            "server_signal_malformed",
-            server_id=server.server_id,
-            headers=signals.malformed,
-        )
-
-    def _count(self, signal: str) -> None:
-        self.env.metrics.counter(
-            "server_signals_total", "Signals in responses of servers", ("signal",)
-        ).labels(signal).inc()
-
 
 def _rate(limit: RateLimit | None) -> float | None:
     return None if limit is None else limit.rate_per_s
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -19,6 +19,7 @@
     ListedServer,
     ServerPhase,
 )
+from egretshed.servers.signals import ServerSignals
 from egretshed.servers.state import ServerState
 
 # Time within which a live server's lapsed entry is listed again.
@@ -26,6 +27,8 @@
 # Time for which a lapsed server still gets new work while the store is connected.
 # Servers that leave must get none soon after; most live ones are back by then.
 LAPSED_WORK_S = 1.2
+# Longest pause for which a server that asks for one gets no work.
+MAX_PAUSE_S = 30.0
 # Replaced and removed entries of a server are kept for this long, and so many of them.
 FORMER_ENTRIES_S = 120.0
 MAX_FORMER_ENTRIES = 8
@@ -54,6 +57,8 @@
         self.is_store_connected = is_store_connected
         self._since_s = env.clock.monotonic_s()
         self.limits = RateLimits(env)
+        # Called with a server that has said itself that it leaves.
+        self.on_leaving: list[Callable[[ServerState], None]] = []
         self.servers: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         # Replaced and removed entries by server id, with the time of that.
@@ -165,6 +170,7 @@
             for server in self.of_service(service)
             if not server.is_gone
             and server.listed.phase is ServerPhase.READY
+            and not server.is_paused(self.env.clock.monotonic_s())
             and not self._may_have_left(server)
             and not self.is_evacuated(server.failure_domain)
         ]
@@ -180,6 +186,78 @@
             s for s in servers if regions_by_domain.get(s.failure_domain) in regions
         ]
 
+    def record_signals(
+        self,
+        server: ServerState,
+        signals: ServerSignals,
+        sent_s: float,
+        may_lift: bool = True,
+    ) -> None:
+        """Record what a server says in a response to a request sent at `sent_s`.
+
+        Without `may_lift` the response is of a kind that need not repeat a limit.
+        """
+        self._count_signals(server, signals)
+        self.limits.record(server, signals, sent_s, may_lift)
+        if signals.is_leaving:
+            self.mark_leaving(server, "response")
+        if signals.pause_s is not None:
+            self._pause(server, min(MAX_PAUSE_S, signals.pause_s))
+        elif may_lift:
+            server.is_on_trial = False
+
+    def _count_signals(self, server: ServerState, signals: ServerSignals) -> None:
+        named = {
+            "rate_limit": signals.rate_limit_per_s is not None,
+            "leaving": signals.is_leaving,
+            "pause": signals.pause_s is not None,
+            "malformed": bool(signals.malformed),
+        }
+        for signal in (name for name, is_named in named.items() if is_named):
+            self.env.metrics.counter(
+                "server_signals_total", "Signals in responses of servers", ("signal",)
+            ).labels(signal).inc()
+        if signals.malformed:
+            log_event(
+                self.env.logger,
+                "server_signal_malformed",
+                server_id=server.server_id,
+                fields=signals.malformed,
+            )
+
+    def mark_leaving(self, server: ServerState, source: str) -> None:
+        """Give a server no new work from now on, since it has said that it leaves."""
+        if server.listed.phase is ServerPhase.LEAVING:
+            return
+        server.listed = server.listed._replace(phase=ServerPhase.LEAVING)
+        self._log_change(server.listed, f"leaving_by_{source}", True)
+        if source == "response":
+            for listener in self.on_leaving:
+                listener(server)
+
+    def _pause(self, server: ServerState, pause_s: float) -> None:
+        server.pause(self.env.clock.monotonic_s() + pause_s)
+        log_event(
+            self.env.logger,
+            "server_paused",
+            server_id=server.server_id,
+            service=server.listed.service,
+            pause_s=pause_s,
+        )
+
+    def pause_left_s(self, service: str) -> float:
+        """Return the time until the first ready server of a service may be asked.
+
+        0 if there is one that wants no pause, or none that is ready.
+        """
+        now_s = self.env.clock.monotonic_s()
+        left_s = [
+            server.paused_until_s - now_s
+            for server in self.of_service(service)
+            if not server.is_gone and server.listed.phase is ServerPhase.READY
+        ]
+        return max(0.0, min(left_s, default=0.0))
+
     def acquire_send_permit(self, server: ServerState, cold_per_s: float) -> bool:
         """Return whether this node may send a request to the server, and count it.
 
@@ -195,7 +273,10 @@
 
     def has_send_permit(self, server: ServerState, cold_per_s: float) -> bool:
         """Return what `acquire_send_permit` would, without counting a request."""
-        if not server.is_cold(self.env.clock.monotonic_s()) and not server.rate_limit:
+        now_s = self.env.clock.monotonic_s()
+        if server.is_paused(now_s) or (server.is_on_trial and server.running):
+            return False
+        if not server.is_cold(now_s) and not server.rate_limit:
             return True
         node_ids = tuple(self.node_ids())
         return self._is_within_cold_rate(
@@ -214,6 +295,8 @@
 
     def has_sole_permit(self, server: ServerState) -> bool:
         """Return what `acquire_sole_permit` would, without counting a request."""
+        if server.is_paused(self.env.clock.monotonic_s()):
+            return False
         return self._is_within_limit(server, (self.env.identity.node_id,))
 
     def _is_within_limit(self, server: ServerState, node_ids: tuple[str, ...]) -> bool:
--- a/egretshed/servers/signals.py
+++ b/egretshed/servers/signals.py
@@ -7,11 +7,14 @@
     """Signals of one response.
 
     `rate_limit_per_s` bounds the requests that the server takes from all nodes
-    together, None if the response names no limit. `malformed` holds the names of
-    headers whose values cannot be used; nothing is known of what they stand for.
+    together, None if the response names no limit. `is_leaving` tells that the server
+    leaves, `pause_s` for how long it wants nothing more from this node. `malformed`
+    holds the names of fields whose values cannot be used; nothing is known of those.
     """
 
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
     malformed: tuple[str, ...] = ()
 
 
--- a/egretshed/servers/start_times.py
+++ b/egretshed/servers/start_times.py
@@ -68,7 +68,7 @@
                     server.address,
                     request,
                     MAX_REPORT_BYTES,
-                    on_head=lambda head: self.servers.limits.record(
+                    on_head=lambda head: self.servers.record_signals(
                         server, decode_server_signals(head), sent_s, may_lift=False
                     ),
                 )
--- a/egretshed/servers/state.py
+++ b/egretshed/servers/state.py
@@ -32,8 +32,9 @@
 
     `reported_load` holds the running and waiting requests and the slots that the server
     last reported. `limit_told_s` is the time of the last notice about `rate_limit`
-    between nodes, `last_sent_s` that of the last request of this node. Times are
-    monotonic seconds of this node.
+    between nodes, `last_sent_s` that of the last request of this node. The server wants
+    no request of this node until `paused_until_s`; after that it is on trial, and gets
+    one at a time until it takes one. Times are monotonic seconds of this node.
     """
 
     listed: ListedServer
@@ -53,6 +54,8 @@
     rate_limit: RateLimit | None = None
     limit_told_s: float = -math.inf
     last_sent_s: float = -math.inf
+    paused_until_s: float = 0.0
+    is_on_trial: bool = False
 
     @property
     def server_id(self) -> str:
@@ -75,8 +78,16 @@
             not self.is_gone
             and self.listed.phase is ServerPhase.READY
             and now_s >= self.backoff_until_s
+            and not self.is_paused(now_s)
         )
 
+    def is_paused(self, now_s: float) -> bool:
+        return now_s < self.paused_until_s
+
+    def pause(self, until_s: float) -> None:
+        self.paused_until_s = max(self.paused_until_s, until_s)
+        self.is_on_trial = True
+
     def record_connection_failure(self, now_s: float) -> None:
         """Start a backoff, which doubles with each consecutive failure."""
         self.consecutive_failures += 1
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -8,7 +8,7 @@
 )
 from tornado.httputil import HTTPHeaders
 
-from egretshed.platform.server_signals import decode_signals
+from egretshed.platform.server_signals import decode_server_signals
 from egretshed.servers.cold_rate_limit import may_send_to_cold
 from egretshed.servers.rate_share import send_interval_s
 from egretshed.servers.records import (
@@ -20,6 +20,7 @@
     LAPSE_GRACE_S,
     ServerRegistry,
 )
+from egretshed.upstream.exchange import ResponseHead
 from standins.clock import ManualClock
 from standins.environments import make_environment
 
@@ -213,8 +214,9 @@
 def named_limit(context, rate, at_s):
     _advance_to(context, at_s)
     server = context.registry.servers["s1"]
-    signals = decode_signals(HTTPHeaders({"Server-Limit": str(rate)}))
-    context.registry.limits.record(server, signals, START_S + at_s)
+    head = ResponseHead(200, "OK", HTTPHeaders({"Server-Limit": str(rate)}))
+    signals = decode_server_signals(head)
+    context.registry.record_signals(server, signals, START_S + at_s)
 
 
 @when("{kind} at {at_s:g} s names {value}")
@@ -223,9 +225,9 @@
     if value != "nothing":
         headers.add("Server-Limit", value.strip('"'))
     _advance_to(context, 12.0)
-    context.registry.limits.record(
+    context.registry.record_signals(
         context.registry.servers["s1"],
-        decode_signals(headers),
+        decode_server_signals(ResponseHead(200, "OK", headers)),
         START_S + at_s,
         may_lift="report" not in kind,
     )
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -359,7 +359,7 @@
             server,
             items,
             expected_s,
-            lambda head: self.servers.limits.record(
+            lambda head: self.servers.record_signals(
                 server, decode_server_signals(head), now_s
             ),
         )
