Ask cold servers for their start again, and split the history of versions off

Cause: since the question for a server's start took the permit of requests with a rate of 0 for cold servers. A cold server was asked by one node only, or not at all, and a question used up the permit of a request.

--- a/egretshed/relay/stream_resumption.py
+++ b/egretshed/relay/stream_resumption.py
@@ -153,7 +153,7 @@
     def _only_version(self, service: str, route: Route) -> str | None:
         """Return the version of all servers, if there was one for a stream's life."""
         service = service or route.services[0].service
-        return self.servers.only_version(service, stream_life_s(route))
+        return self.servers.versions.only_version(service, stream_life_s(route))
 
     def _former_entries(self, beginning: StreamBeginning | None) -> list[ListedServer]:
         if beginning is None:
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -21,6 +21,7 @@
 )
 from egretshed.servers.signals import ServerSignals
 from egretshed.servers.state import ServerState
+from egretshed.servers.version_history import VersionHistory
 
 # Time within which a live server's lapsed entry is listed again.
 LAPSE_GRACE_S = 2.0
@@ -55,7 +56,6 @@
         self.may_have_lapsed = may_have_lapsed
         self.node_ids = node_ids
         self.is_store_connected = is_store_connected
-        self._since_s = env.clock.monotonic_s()
         self.limits = RateLimits(env)
         # Called with a server that has said itself that it leaves.
         self.on_leaving: list[Callable[[ServerState], None]] = []
@@ -63,10 +63,7 @@
         self._by_service: dict[str, dict[str, ServerState]] = {}
         # Replaced and removed entries by server id, with the time of that.
         self._former: dict[str, list[tuple[float, ListedServer]]] = {}
-        # Times at which servers of a version were last listed, by service.
-        self._version_seen_s: dict[str, dict[str, float]] = {}
-        # Services of which earlier nodes have recorded the versions.
-        self._recorded_services: set[str] = set()
+        self.versions = VersionHistory(env, self.of_service)
 
     def apply(self, listed: ListedServer) -> None:
         """Apply a new or changed entry of the list.
@@ -83,7 +80,7 @@
             if server is not None:
                 server.is_gone = True
                 self._by_service[server.listed.service].pop(server.server_id, None)
-                self._note_version(server.listed)
+                self.versions.note_listed(server.listed)
                 self._keep_former(server.listed)
             server = ServerState(listed)
             self.servers[listed.server_id] = server
@@ -98,7 +95,7 @@
         elif server.is_cold(now_s):
             server.cold_until_s = now_s
         self._by_service.setdefault(listed.service, {})[server.server_id] = server
-        self._note_version(listed)
+        self.versions.note_listed(listed)
 
     def remove(self, server_id: str) -> None:
         """Remove a server whose entry was removed, or mark it as lapsed."""
@@ -135,7 +132,7 @@
         self.servers.pop(server.server_id, None)
         listed = server.listed
         self._by_service[listed.service].pop(server.server_id, None)
-        self._note_version(listed)
+        self.versions.note_listed(listed)
         self._keep_former(listed)
         self._log_change(listed, "gone", True)
 
@@ -299,6 +296,20 @@
             return False
         return self._is_within_limit(server, (self.env.identity.node_id,))
 
+    def acquire_report_permit(self, server: ServerState) -> bool:
+        """Return whether this node may ask a server for a report, and count that.
+
+        Reports take no slot, so that a cold server may be asked.
+        """
+        now_s = self.env.clock.monotonic_s()
+        allowed = not server.is_paused(now_s) and (
+            not server.rate_limit
+            or self._is_within_limit(server, tuple(self.node_ids()))
+        )
+        if allowed:
+            server.last_sent_s = now_s
+        return allowed
+
     def _is_within_limit(self, server: ServerState, node_ids: tuple[str, ...]) -> bool:
         limit_per_s = self.limits.limit_per_s(server)
         if limit_per_s is None:
@@ -321,52 +332,6 @@
             now_s,
         )
 
-    def only_version(self, service: str, for_s: float) -> str | None:
-        """Return the version that all servers had for the last `for_s` seconds.
-
-        None if there was more than one, or no server is listed. A node that has not
-        followed the list for so long relies on the record of those before it. Where
-        nothing was recorded it needs servers that are older instead: none of them has
-        replaced one of another version meanwhile.
-        """
-        followed_s = self.env.clock.monotonic_s() - self._since_s
-        if followed_s < for_s and service not in self._recorded_services:
-            oldest_ms = (self.env.clock.wall_s() - for_s) * 1000
-            if any(s.listed.started_ms > oldest_ms for s in self.of_service(service)):
-                return None
-        listed = {server.listed.version for server in self.of_service(service)}
-        oldest_s = self.env.clock.monotonic_s() - for_s
-        seen_s = self._version_seen_s.get(service, {})
-        recent = {version for version, at_s in seen_s.items() if at_s > oldest_s}
-        return next(iter(listed)) if len(listed) == 1 and recent <= listed else None
-
-    def note_recorded_versions(self, service: str, seen_s: dict[str, float]) -> None:
-        """Add the times at which versions were last listed, from before the start."""
-        self._recorded_services.add(service)
-        known = self._version_seen_s.setdefault(service, {})
-        for version, at_s in seen_s.items():
-            known[version] = max(at_s, known.get(version, at_s))
-
-    def recent_versions(self, for_s: float) -> dict[str, dict[str, float | None]]:
-        """Return the versions of each service in the last `for_s` seconds.
-
-        Each has the time at which it was last listed, None if it is listed now.
-        """
-        oldest_s = self.env.clock.monotonic_s() - for_s
-        found: dict[str, dict[str, float | None]] = {}
-        for service, seen_s in self._version_seen_s.items():
-            listed = {s.listed.version for s in self.of_service(service)}
-            found[service] = {
-                version: None if version in listed else at_s
-                for version, at_s in seen_s.items()
-                if version in listed or at_s > oldest_s
-            }
-        return found
-
-    def _note_version(self, listed: ListedServer) -> None:
-        seen_s = self._version_seen_s.setdefault(listed.service, {})
-        seen_s[listed.version] = self.env.clock.monotonic_s()
-
     def _keep_former(self, listed: ListedServer) -> None:
         now_s = self.env.clock.monotonic_s()
         for server_id, entries in list(self._former.items()):
--- a/egretshed/servers/start_times.py
+++ b/egretshed/servers/start_times.py
@@ -42,7 +42,7 @@
         """Return the Unix time of a server's start, or None if it is not known.
 
         The server was asked at `since_wall_s` or later. It is not asked if that would
-        exceed a limit that it has named.
+        exceed a limit that it has named, or in a pause that it has asked for.
         """
         server_id = server.server_id
         now_s = self.env.clock.wall_s()
@@ -53,7 +53,7 @@
         }
         question = self._questions.get(server_id)
         if question is None or question.asked_wall_s < since_wall_s:
-            if not self.servers.acquire_send_permit(server, 0.0):
+            if not self.servers.acquire_report_permit(server):
                 return None
             reply = asyncio.create_task(self._ask(server))
             question = self._questions[server_id] = _Question(now_s, reply)
--- a/egretshed/servers/tests/servers.feature
+++ b/egretshed/servers/tests/servers.feature
@@ -61,6 +61,20 @@
       | restarted           | it is listed again with start 9                            | none |
       | never heard again   | 60 s pass                                                  | none |
 
+  # Guards against a cold server that is never asked for its start, and against questions
+  # to one that wants no requests.
+  Scenario Outline: A server that <state> may be asked for a report: <allowed>
+    Given a listed server "s1" in domain "a" at 10.0.0.1:80 started at 5
+    When it <state>
+    Then this node may ask it for a report: <allowed>
+
+    Examples:
+      | state                         | allowed |
+      | is well                       | yes     |
+      | is cold                       | yes     |
+      | has asked for a pause         | no      |
+      | names a limit and was asked   | no      |
+
   # Guards against work for servers that are leaving, gone, evacuated or unreachable, and
   # against state of one incarnation that is applied to the next.
   Scenario Outline: <case>
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -256,3 +256,34 @@
     limit_per_s = context.registry.limits.limit_per_s(context.registry.servers["s1"])
     expected = None if rate == "none" else float(rate)
     assert limit_per_s == expected, limit_per_s
+
+
+@when("it is well")
+def is_well(context):
+    pass
+
+
+@when("it is cold")
+def is_cold(context):
+    context.registry.apply(context.entry._replace(cold_s=60.0))
+
+
+@when("it has asked for a pause")
+def has_asked_for_pause(context):
+    head = ResponseHead(503, "", HTTPHeaders({"Retry-After": "3"}))
+    signals = decode_server_signals(head)
+    context.registry.record_signals(context.registry.servers["s1"], signals, START_S)
+
+
+@when("it names a limit and was asked")
+def names_limit_and_was_asked(context):
+    server = context.registry.servers["s1"]
+    head = ResponseHead(200, "OK", HTTPHeaders({"Server-Limit": "1"}))
+    context.registry.record_signals(server, decode_server_signals(head), START_S)
+    assert context.registry.acquire_report_permit(server)
+
+
+@then("this node may ask it for a report: {allowed}")
+def may_ask(context, allowed):
+    server = context.registry.servers["s1"]
+    assert context.registry.acquire_report_permit(server) == (allowed == "yes")
--- a/egretshed/stream_versions/version_record.py
+++ b/egretshed/stream_versions/version_record.py
@@ -71,7 +71,7 @@
                 else 0.0
                 for version, ended_ms in versions.items()
             }
-            self.servers.note_recorded_versions(
+            self.servers.versions.note_recorded(
                 service, {version: now_s - age_s for version, age_s in ages_s.items()}
             )
 
@@ -105,7 +105,7 @@
                 else int((wall_s - (now_s - seen_s)) * 1000)
                 for version, seen_s in versions.items()
             }
-            for service, versions in self.servers.recent_versions(MAX_AGE_S).items()
+            for service, versions in self.servers.versions.recent(MAX_AGE_S).items()
         }
 
 
