Let the soak's leaving servers start anew before they are ready again

The soak called a server ready again after it had been listed as leaving, within one incarnation. On the platform a server that leaves ends, so the stand-in was wrong; it gets a new start now, and all checks stay. That is as strict: nodes must also recognise the new incarnation.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -18,6 +18,7 @@
 import random
 import signal
 import sys
+import time
 from collections import Counter
 from dataclasses import (
     dataclass,
@@ -176,6 +177,8 @@
     soak.draining.discard(server_id)
     # A server that has restarted under another id is listed as ready already.
     if server.server_id == server_id:
+        # A server that leaves ends; what serves under its id later has started anew.
+        server.born_ms = int(time.time() * 1000)
         soak.fleet.store.put_json(SERVER_TABLE, server_id, server.entry())
 
 
