--- a/egretshed/quarantine/crash_reports.py
+++ b/egretshed/quarantine/crash_reports.py
@@ -54,34 +54,45 @@
         peers.handle(PromptCrash, self._on_crash)
 
     def check_server(
-        self, request_id: str, service: str, server_id: str, address: str, parts
+        self,
+        request_id: str,
+        service: str,
+        server_id: str,
+        address: str,
+        parts,
+        input_ids: tuple[str, ...],
     ) -> None:
         """Check in the background whether a server crashed, and report that.
 
         `parts` are those of the prompt whose response was broken off without an event.
         """
-        shared_ids = [part.part_id for part in parts[:-1]]
-        if not shared_ids or len(self._checks) >= MAX_CHECKS:
+        if len(self._checks) >= MAX_CHECKS:
             return
+        shared_ids = [part.part_id for part in parts[:-1]]
         report = PromptCrash(service, server_id, shared_ids, request_id)
-        check = asyncio.create_task(self._check(report, address))
+        check = asyncio.create_task(self._check(report, address, input_ids))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
-    async def _check(self, report: PromptCrash, address: str) -> None:
+    async def _check(
+        self, report: PromptCrash, address: str, input_ids: tuple[str, ...]
+    ) -> None:
         await self.env.clock.sleep(CHECK_DELAY_S)
         try:
             stream = await connect(address, CHECK_TIMEOUT_S)
         except ConnectionRefused:
-            self._log(report, "crashed")
-            self._report(report)
+            self._log(report, input_ids, "crashed")
+            if report.part_ids:
+                self._report(report)
         except ExchangeFailed:
-            self._log(report, "unknown")
+            self._log(report, input_ids, "unknown")
         else:
             stream.close()
-            self._log(report, "alive")
+            self._log(report, input_ids, "alive")
 
-    def _log(self, report: PromptCrash, outcome: str) -> None:
+    def _log(
+        self, report: PromptCrash, input_ids: tuple[str, ...], outcome: str
+    ) -> None:
         log_event(
             self.env.logger,
             "server_checked",
@@ -89,6 +100,7 @@
             service=report.service_name,
             server_id=report.server_id,
             shared_parts=report.part_ids,
+            input_ids=input_ids,
             outcome=outcome,
         )
 
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -160,18 +160,19 @@
         server: ServerState,
         failure: BackendError,
     ) -> None:
-        """Have a crash reported if an engine has failed before the first event."""
-        prompt = state.request.prompt
-        if prompt is None or service.engine is None:
+        """Have a server checked that broke a request off, and its crash reported."""
+        if not failure.may_have_run:
             return
-        if failure.may_have_run and not state.attempt_has_events:
-            self.crashes.check_server(
-                state.request.request_id,
-                service.name,
-                server.server_id,
-                server.address,
-                prompt.parts,
-            )
+        prompt = state.request.prompt
+        has_parts = prompt is not None and not state.attempt_has_events
+        self.crashes.check_server(
+            state.request.request_id,
+            service.name,
+            server.server_id,
+            server.address,
+            prompt.parts if has_parts else (),
+            state.input_ids,
+        )
 
     def _handle_failure(
         self,
@@ -221,6 +222,7 @@
             sends=state.send_count,
             service=state.service,
             shared_parts=[p.part_id for p in prompt.shared_parts()] if prompt else [],
+            input_ids=state.input_ids,
             has_events=state.attempt_has_events,
             outcome=step.value,
         )
--- a/egretshed/relay/request_state.py
+++ b/egretshed/relay/request_state.py
@@ -5,8 +5,10 @@
     dataclass,
     field,
 )
+from functools import cached_property
 
 from egretshed.ingress.server import Reply
+from egretshed.quarantine.inputs import identify_inputs
 from egretshed.relay.request import CallerRequest
 from egretshed.serving.schema import (
     Customer,
@@ -63,6 +65,12 @@
     def may_have_run(self) -> bool:
         return self.possible_executions > 0
 
+    @cached_property
+    def input_ids(self) -> tuple[str, ...]:
+        """Ids of the inputs that may crash servers, outermost first."""
+        customer = self.customer.name if self.customer else ""
+        return identify_inputs(self.request, customer)
+
     def can_resume(self) -> bool:
         """Return whether another server can resume the stream where it was cut."""
         has_position = bool(self.last_event_id) or not self.reply.is_started
