--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -99,7 +99,10 @@
             {"name": "second", "segments": segments},
             {"name": "engine", "engine": {"slots": 8, "kv_capacity": 100000}},
         ],
-        "tenants": [{"name": "cust", "api_keys": ["key-1", "key-2"]}],
+        "tenants": [
+            {"name": "cust", "api_keys": ["key-1", "key-2"]},
+            {"name": "other", "api_keys": ["key-3"]},
+        ],
         **changes,
     }
 
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -29,6 +29,8 @@
 ERROR_STATUSES = {"error": 500, "late_503": 503}
 DRIP_S = 0.1
 DRIP_EVENTS = 2
+# Time from the beginning of a run to the crash that it causes.
+CRASH_AFTER_S = 0.06
 SLOW_EVENT_S = 0.55
 ENDLESS_CHUNK_BYTES = 16 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -77,7 +79,9 @@
     - ``cut_in_chunks``: ends the stream inside an event, with a valid final chunk.
 
     An engine crashes when it begins to respond to a prompt with `crash_part`: it sends
-    the head of the response, and then `crash` ends it.
+    the head of the response, and then `crash` ends it. A server crashes
+    `CRASH_AFTER_S` after it began to run a request of customer `crash_customer` for
+    the target `crash_target`; an engine has sent `events_before_crash` events by then.
 
     Events name the request and `version`, that of the server's software.
 
@@ -103,6 +107,9 @@
     results: set[str] = field(default_factory=set)
     seen_headers: dict[str, dict] = field(default_factory=dict)
     crash_part: str = ""
+    crash_target: str = ""
+    crash_customer: str = ""
+    events_before_crash: int = 0
     crash: Callable[["ServerState"], None] | None = None
     signals: dict[str, str] = field(default_factory=dict)
     arrival_times_s: list[float] = field(default_factory=list)
@@ -162,6 +169,9 @@
         state.run_counts[request_id] += 1
         state.seen_headers[request_id] = dict(self.request.headers)
         self.set_header("Replica-Signature", f"sig-{request_id}")
+        if self._crashes_server():
+            await self._crash_after_events(request_id)
+            return
         if state.mode == "hang":
             await asyncio.sleep(60)
         if state.mode == "lost":
@@ -180,6 +190,25 @@
             await asyncio.sleep(state.work_s)
             self.write(self._plain_body(request_id))
 
+    def _crashes_server(self) -> bool:
+        customer = self.request.headers.get("Tenant", "")
+        wanted = (self.state.crash_target, self.state.crash_customer)
+        return (self.request.uri, customer) == wanted
+
+    async def _crash_after_events(self, request_id: str) -> None:
+        state = self.state
+        try:
+            if state.events_before_crash:
+                self.set_header("Content-Type", "text/event-stream")
+                for number in range(1, state.events_before_crash + 1):
+                    self.write(event_text(number, request_id, state.version))
+                await self.flush()
+            await asyncio.sleep(CRASH_AFTER_S)
+        except StreamClosedError:
+            state.disconnected.add(request_id)
+        state.crash(state)
+        self.request.connection.stream.close()
+
     def _plain_body(self, request_id: str) -> str:
         return f"answer to {request_id} {self.request.uri}"
 
