Keep the backoff of a server that was refused often from overflowing

Cause: the backoff is 0.4 s times two to the number of failures in a row, computed before its limit applies; after 1,025 failures the power is too large for a float. Evidence: two rows of servers.feature with 2,000 failures failed before. Change: the exponent is limited. Looked for elsewhere: the other powers of two in the package are bounded. Measured: servers.feature 53 of 53.

--- a/egretshed/servers/state.py
+++ b/egretshed/servers/state.py
@@ -19,6 +19,8 @@
 # Exponential backoff after failed connections, during which the server gets no work.
 BACKOFF_MIN_S = 0.4
 BACKOFF_MAX_S = 4.0
+# Enough to reach the maximum; the power of a longer series of failures overflows.
+MAX_DOUBLINGS = 10
 # Minimum weight of the newest observation in the averages of latency and failures.
 MIN_OBSERVATION_WEIGHT = 0.2
 # Time constant of the decay of earlier observations.
@@ -90,10 +92,9 @@
 
     def record_connection_failure(self, now_s: float) -> None:
         """Start a backoff, which doubles with each consecutive failure."""
+        doublings = min(self.consecutive_failures, MAX_DOUBLINGS)
+        backoff_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2**doublings)
         self.consecutive_failures += 1
-        backoff_s = min(
-            BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** (self.consecutive_failures - 1)
-        )
         self.backoff_until_s = now_s + backoff_s
 
     def record_response(
--- a/egretshed/servers/tests/servers.feature
+++ b/egretshed/servers/tests/servers.feature
@@ -99,5 +99,7 @@
       | domain taken out              | domain "a" is taken out                           | 0     |
       | unreachable                   | a connection to it fails                          | 0     |
       | reachable again               | a connection to it fails and 5 s pass             | 1     |
+      | unreachable for a long time   | 2000 connections to it fail and 3 s pass          | 0     |
+      | reachable after a long time   | 2000 connections to it fail and 5 s pass          | 1     |
       | restarted after a failure     | a connection to it fails and it starts again at 9 | 1     |
       | another service at its address | it is listed for another service                 | 0     |
--- a/egretshed/servers/tests/steps/server_steps.py
+++ b/egretshed/servers/tests/steps/server_steps.py
@@ -164,6 +164,13 @@
     asyncio.run(context.clock.advance(5))
 
 
+@when("{count:d} connections to it fail and {seconds:g} s pass")
+def fail_often(context, count, seconds):
+    for _ in range(count):
+        unreachable(context)
+    asyncio.run(context.clock.advance(seconds))
+
+
 @when("a connection to it fails and it starts again at 9")
 def restarted(context):
     unreachable(context)
