Refuse unknown streams for as long as callers may take them up

Cause: a stream was taken to last 20 s; after that the version that had left was not counted, and the one that was left was guessed. Evidence: the new row of versions.feature, '... and 25 s pass', failed before: the stream was joined. Change: a stream may be taken up for 300 s, and the record of versions reaches as far back. Where nothing was recorded the former 20 s apply to the age of the servers.

--- a/egretshed/daemon/tests/steps/versions_steps.py
+++ b/egretshed/daemon/tests/steps/versions_steps.py
@@ -21,6 +21,8 @@
 SERVER_DOWN_S = 1.0
 # A node knows after this time that the store does not answer, or that it does again.
 STORE_LOST_S = 6.0
+# Longer than the callers' deadlines, and than the route's timeout several times over.
+LATE_TAKE_UP_S = 25.0
 MAX_TRIES = 20
 SILENT_NODE = "node-1"
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
@@ -190,7 +192,13 @@
     await context.fleet.wait_until_ready(*names)
 
 
+async def _take_up_late(context):
+    await _restart_nodes_as_first_version_leaves(context)
+    await asyncio.sleep(LATE_TAKE_UP_S)
+
+
 EVENT_ACTIONS = {
+    "all nodes restart while those of v1 leave, and 25 s pass": _take_up_late,
     "all nodes restart while those of v1 leave": _restart_nodes_as_first_version_leaves,
     "nothing": _nothing,
     "the node that began it is killed": _kill_first_node,
--- a/egretshed/daemon/tests/versions.feature
+++ b/egretshed/daemon/tests/versions.feature
@@ -26,6 +26,7 @@
       | v1 v1 v2 | all nodes restart | node-1 | it             | is refused |
       | v1 v1 v1 | all nodes restart | node-1 | it             | goes on    |
       | v1 v1 v2 | all nodes restart while those of v1 leave | node-1 | it | is refused |
+      | v1 v1 v2 | all nodes restart while those of v1 leave, and 25 s pass | node-1 | it | is refused |
       | v1 v1 v2 | nothing           | node-1 | nothing        | is refused |
       | v1 v1 v2 | nothing           | node-1 | an unknown id  | is refused |
       | v1 v1 v2 | nothing           | node-1 | itself         | is refused |
--- a/egretshed/relay/stream_resumption.py
+++ b/egretshed/relay/stream_resumption.py
@@ -11,6 +11,7 @@
 from egretshed.serving.schema import Route
 from egretshed.stream_versions.records import (
     MAX_AGE_S,
+    STREAM_LIFE_S,
     StreamBeginning,
 )
 from egretshed.stream_versions.resume_decision import (
@@ -27,10 +28,8 @@
 RETRY_AFTER_S = 0.3
 # Retry-After of a resume that will not be possible later either.
 LOST_RETRY_AFTER_S = 2.0
-# A stream, with all tries of its caller, lasts no longer than this multiple of the
-# timeout of its route. The timeout may have been longer when the stream began.
+# A stream of a route with a long timeout may last for this multiple of it.
 STREAM_LIFE_FACTOR = 2.0
-MIN_STREAM_LIFE_S = 20.0
 PASSING_REFUSALS = frozenset({"version_not_served", "list_outdated"})
 PASSING_SOURCES = frozenset({"holders_silent"})
 MAX_LOGGED_ID = 80
@@ -38,7 +37,7 @@
 
 def stream_life_s(route: Route) -> float:
     """Return the longest time after its beginning at which a stream is taken up."""
-    return max(MIN_STREAM_LIFE_S, STREAM_LIFE_FACTOR * route.timeout_s)
+    return max(STREAM_LIFE_S, STREAM_LIFE_FACTOR * route.timeout_s)
 
 
 class StreamResumption:
--- a/egretshed/servers/version_history.py
+++ b/egretshed/servers/version_history.py
@@ -9,6 +9,10 @@
 from egretshed.servers.records import ListedServer
 from egretshed.servers.state import ServerState
 
+# Where no earlier node has recorded the versions of a service, no server may be younger
+# than this: a younger one may have replaced one of another version.
+UNRECORDED_LIFE_S = 20.0
+
 
 class VersionHistory:
     """Times at which the versions of services were last listed.
@@ -47,8 +51,9 @@
         replaced one of another version meanwhile.
         """
         followed_s = self.env.clock.monotonic_s() - self._since_s
-        if followed_s < for_s and service not in self._recorded_services:
-            oldest_ms = (self.env.clock.wall_s() - for_s) * 1000
+        needed_s = min(for_s, UNRECORDED_LIFE_S)
+        if followed_s < needed_s and service not in self._recorded_services:
+            oldest_ms = (self.env.clock.wall_s() - needed_s) * 1000
             if any(s.listed.started_ms > oldest_ms for s in self.of_service(service)):
                 return None
         listed = {server.listed.version for server in self.of_service(service)}
--- a/egretshed/stream_versions/records.py
+++ b/egretshed/stream_versions/records.py
@@ -3,8 +3,11 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-# A stream is taken up again within the deadline of its request.
+# Most streams are taken up again within the deadline of their request.
 MAX_AGE_S = 60.0
+# Longest time after its beginning at which a stream is taken up. The deadline of one
+# request is no limit: a caller may try several times, and wait in between.
+STREAM_LIFE_S = 300.0
 MAX_RECORDS = 10_000
 # Longer ids are no ids; they would make the size of the memory unpredictable.
 MAX_ID_CHARACTERS = 128
--- a/egretshed/stream_versions/version_record.py
+++ b/egretshed/stream_versions/version_record.py
@@ -21,7 +21,7 @@
 from egretshed.membership.duty_owners import DutyOwners
 from egretshed.membership.registered_nodes import RegisteredNodes
 from egretshed.servers.registry import ServerRegistry
-from egretshed.stream_versions.records import MAX_AGE_S
+from egretshed.stream_versions.records import STREAM_LIFE_S
 
 DUTY = "version_record"
 RECORD_KEY = "!versions"
@@ -105,7 +105,7 @@
                 else int((wall_s - (now_s - seen_s)) * 1000)
                 for version, seen_s in versions.items()
             }
-            for service, versions in self.servers.versions.recent(MAX_AGE_S).items()
+            for service, versions in self.servers.versions.recent(STREAM_LIFE_S).items()
         }
 
 
