Ignore server entries whose address nothing can be sent to

Cause: an address was any text with decimal digits after a colon, so that the error came up when a request was sent; a name instead of a number would have blocked the process while it is looked up. Evidence: five rows of adapter.feature failed before. Change: an address is an IPv4 number and a port from 1 to 65535, else the entry is ignored with a log line.

--- a/egretshed/platform/records.py
+++ b/egretshed/platform/records.py
@@ -4,6 +4,7 @@
 `MalformedRecord`, and callers do not use any part of such a row.
 """
 
+import ipaddress
 from typing import Any
 
 import msgspec
@@ -28,6 +29,8 @@
 )
 
 BYTES_PER_MB = 1_000_000
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 REPEAT_RULES = {
     "idempotent": RouteType.IDEMPOTENT,
     "non_idempotent": RouteType.NON_IDEMPOTENT,
@@ -170,10 +173,19 @@
 
 
 def decode_address(text: str) -> ServerAddress:
-    """Parse a ``HOST:PORT`` address; raise `MalformedRecord`."""
+    """Parse an ``IPV4:PORT`` address; raise `MalformedRecord`.
+
+    Any other address would fail each request that is sent to it, or block the process
+    while a name is looked up.
+    """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise MalformedRecord(f"address {text!r} is not HOST:PORT")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise MalformedRecord(f"address {text!r} has no port from 1 to {MAX_PORT}")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise MalformedRecord(f"address {text!r}: {error}") from error
     return ServerAddress(host, int(port))
 
 
--- a/egretshed/platform/tests/adapter.feature
+++ b/egretshed/platform/tests/adapter.feature
@@ -13,6 +13,13 @@
       | state             | 7             | is ignored     |
       | address           | "10.0.0.1"    | is ignored     |
       | address           | "10.0.0.1:x"  | is ignored     |
+      | address           | "10.0.0.1:99999999" | is ignored |
+      | address           | "10.0.0.1:65536" | is ignored  |
+      | address           | "10.0.0.1:65535" | is a server |
+      | address           | "10.0.0.1:0"  | is ignored     |
+      | address           | "10.0.0.1:8²" | is ignored     |
+      | address           | "300.0.0.1:80" | is ignored    |
+      | address           | "a.example:80" | is ignored    |
       | address           | missing       | is ignored     |
       | service           | missing       | is ignored     |
       | service           | null          | is ignored     |
