Ignore rows and responses whose JSON is nested too deeply

Cause: msgspec raises RecursionError there, which is no DecodeError; only one of eleven places expected it. Change: decode_untrusted turns every failure into a DecodeError; rows, records and responses of others use it.

--- a/egretshed/backends/http.py
+++ b/egretshed/backends/http.py
@@ -40,6 +40,7 @@
     BackendUnreachable,
     StaleFencingNumber,
 )
+from egretshed.untrusted_json import decode_untrusted
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 1.0  # for all calls but inference and orders
@@ -183,7 +184,7 @@
 
 def _decode(response: HTTPResponse, expected_type: Any) -> Any:
     try:
-        return msgspec.json.decode(response.body, type=expected_type)
+        return decode_untrusted(response.body, expected_type)
     except msgspec.DecodeError as error:
         raise BackendError("backend server sent malformed JSON") from error
 
--- a/egretshed/backends/openai_completions.py
+++ b/egretshed/backends/openai_completions.py
@@ -19,6 +19,7 @@
     TokenEvent,
 )
 from egretshed.errors import BackendError
+from egretshed.untrusted_json import decode_untrusted
 
 DATA_PREFIX = b"data: "
 DONE_MARKER = b"[DONE]"
@@ -96,7 +97,7 @@
             self.progress.reset()
             return
         try:
-            message = msgspec.json.decode(data, type=_CompletionEvent)
+            message = decode_untrusted(data, _CompletionEvent)
         except msgspec.DecodeError as error:
             self._fail(str(error))
         if message.usage:
--- a/egretshed/membership/registered_nodes.py
+++ b/egretshed/membership/registered_nodes.py
@@ -28,6 +28,7 @@
     RowStore,
     RowWrite,
 )
+from egretshed.untrusted_json import decode_untrusted
 
 NODE_TABLE = "egretshed_nodes"
 ENTRY_ROLE = "entry"
@@ -102,7 +103,7 @@
             if row.key == self.env.identity.node_id:
                 self._own_value = row.value
             try:
-                node = msgspec.json.decode(row.value or b"", type=_NodeWire)
+                node = decode_untrusted(row.value or b"", _NodeWire)
             except msgspec.DecodeError as error:
                 log_event(
                     self.env.logger, "node_row_ignored", key=row.key, reason=str(error)
--- a/egretshed/operators/routes.py
+++ b/egretshed/operators/routes.py
@@ -37,6 +37,7 @@
 )
 from egretshed.plans.model import Plan
 from egretshed.records import to_object
+from egretshed.untrusted_json import decode_untrusted
 
 PATH_PREFIX = "/v1/operator"
 BOOTSTRAP_OPERATOR = "bootstrap"
@@ -132,7 +133,7 @@
         Raises `InvalidRequest` if a field is missing or has another type.
         """
         try:
-            body = msgspec.json.decode(self.request.body)
+            body = decode_untrusted(self.request.body)
         except msgspec.DecodeError as error:
             raise InvalidRequest(f"request body is not JSON: {error}") from None
         if not isinstance(body, dict):
--- a/egretshed/platform/records.py
+++ b/egretshed/platform/records.py
@@ -27,6 +27,7 @@
     StageSpec,
     WeightedService,
 )
+from egretshed.untrusted_json import decode_untrusted
 
 BYTES_PER_MB = 1_000_000
 MAX_PORT = 65_535
@@ -191,8 +192,8 @@
 
 def _decode(value: bytes, schema: type) -> Any:
     try:
-        return msgspec.json.decode(value, type=schema)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_untrusted(value, schema)
+    except msgspec.DecodeError as error:
         raise MalformedRecord(str(error)) from error
 
 
--- a/egretshed/platform/server_reports.py
+++ b/egretshed/platform/server_reports.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from egretshed.platform.headers import HEADERS
+from egretshed.untrusted_json import decode_untrusted
 from egretshed.upstream.exchange import OutgoingRequest
 
 
@@ -21,6 +22,6 @@
     if status != 200:
         return None
     try:
-        return msgspec.json.decode(body, type=_ReportWire).born
+        return decode_untrusted(body, _ReportWire).born
     except msgspec.DecodeError:
         return None
--- a/egretshed/platform/stage_calls.py
+++ b/egretshed/platform/stage_calls.py
@@ -7,6 +7,7 @@
 from egretshed.errors import BackendRejected
 from egretshed.platform.headers import HEADERS
 from egretshed.stage_scheduling.jobs import PieceFailure
+from egretshed.untrusted_json import decode_untrusted
 from egretshed.upstream.exchange import OutgoingRequest
 
 FAILURES_BY_REASON = {
@@ -62,7 +63,7 @@
     Raises `BackendRejected` if the body is malformed or has another number of results.
     """
     try:
-        wire = msgspec.json.decode(body, type=_ResultsWire)
+        wire = decode_untrusted(body, _ResultsWire)
     except msgspec.DecodeError as error:
         raise BackendRejected(f"malformed stage response: {error}") from error
     if len(wire.entries) != count:
--- a/egretshed/platform/store.py
+++ b/egretshed/platform/store.py
@@ -33,6 +33,7 @@
     era_of,
     version_in_store,
 )
+from egretshed.untrusted_json import decode_untrusted
 from egretshed.upstream.exchange import (
     ExchangeFailed,
     OutgoingRequest,
@@ -193,7 +194,7 @@
         if status != 200:
             raise PlatformUnavailable(f"{path} returned status {status}", status=status)
         try:
-            page = msgspec.json.decode(body, type=_RowsWire)
+            page = decode_untrusted(body, _RowsWire)
         except msgspec.DecodeError as error:
             raise PlatformUnavailable(f"{path}: malformed rows: {error}") from error
         page.row_version = combine(era, page.row_version)
--- a/egretshed/quarantine/guard.py
+++ b/egretshed/quarantine/guard.py
@@ -37,6 +37,7 @@
 from egretshed.placement.duty import engine_duty
 from egretshed.quarantine.completed_inputs import CompletedInputs
 from egretshed.quarantine.inputs import kind_of
+from egretshed.untrusted_json import decode_untrusted
 
 # Duration of the first quarantine of an input; each further one is twice as long.
 BASE_DURATION_S = 120.0
@@ -313,7 +314,7 @@
 
     def _load_record(self, service: str, input_id: str, key: str, value: bytes) -> None:
         try:
-            level = msgspec.json.decode(value, type=_RecordWire).level
+            level = decode_untrusted(value, _RecordWire).level
         except msgspec.DecodeError as error:
             log_event(
                 self.env.logger,
--- a/egretshed/stream_versions/version_record.py
+++ b/egretshed/stream_versions/version_record.py
@@ -22,6 +22,7 @@
 from egretshed.membership.registered_nodes import RegisteredNodes
 from egretshed.servers.registry import ServerRegistry
 from egretshed.stream_versions.records import STREAM_LIFE_S
+from egretshed.untrusted_json import decode_untrusted
 
 DUTY = "version_record"
 RECORD_KEY = "!versions"
@@ -58,7 +59,7 @@
         if value is None:
             return
         try:
-            recorded = msgspec.json.decode(value, type=_RecordWire)
+            recorded = decode_untrusted(value, _RecordWire)
         except msgspec.DecodeError as error:
             log_event(self.env.logger, "version_record_ignored", reason=str(error))
             return
