Test that requests accepted late in a planned stop are answered

Change: planned_stop.feature sends requests of 1.8 and 1.9 s, bookings too, until the process is gone.

--- a/egretshed/daemon/tests/planned_stop.feature
+++ b/egretshed/daemon/tests/planned_stop.feature
@@ -16,6 +16,23 @@
       | new  | SIGTERM twice in 0.5 s    |
       | kept | SIGTERM twice in 0.5 s    |
 
+  # Guards against requests that are accepted late in the time of a stop and cut at its end.
+  Scenario Outline: Requests of <work_s> s to <path> on <kind> connections until it ends
+    Given 3 entry nodes and 2 servers of each service
+    And the servers of "plain" take <work_s> s for a request
+    When callers send requests to <path> on <kind> connections to "node-0" until it ends
+    And "node-0" gets SIGTERM
+    Then every request that was sent got an answer, or its connection was refused
+    And at least 4 requests were answered after the first signal
+    And each answer tells the truth about its execution
+    And none that was accepted was ended early
+
+    Examples:
+      | work_s | path    | kind |
+      | 1.8    | /book/x | new  |
+      | 1.8    | /book/x | kept |
+      | 1.9    | /read/x | kept |
+
   # Guards against a request whose body was still on its way when the node went idle.
   Scenario Outline: A body that ends <end_s> s after the signal
     Given 3 entry nodes and 2 servers of each service
--- a/egretshed/daemon/tests/steps/planned_stop_steps.py
+++ b/egretshed/daemon/tests/steps/planned_stop_steps.py
@@ -30,18 +30,16 @@
     ).encode()
 
 
-def _encode_read(request_id: str) -> bytes:
-    return _head(request_id, "GET", "/read/x")
+@when('callers send requests to {path} on {kind} connections to "node-0" until it ends')
+def start_senders(context, path, kind):
+    def encode(request_id: str) -> bytes:
+        method = "GET" if path.startswith("/read/") else "POST"
+        return _head(request_id, method, path)
 
-
-@when(
-    'callers send requests to /read/x on {kind} connections to "node-0" until it ends'
-)
-def start_senders(context, kind):
     async def start():
         port = context.fleet.ports[NODE][0]
         context.senders = [
-            Sender(f"s{number}", port, _encode_read, kind == "kept")
+            Sender(f"s{number}", port, encode, kind == "kept")
             for number in range(SENDERS)
         ]
         context.sending = [asyncio.create_task(s.run()) for s in context.senders]
@@ -93,6 +91,12 @@
             assert sent.outcome != "503" or runs == 0, (sent, runs)
 
 
+@then("none that was accepted was ended early")
+def none_ended(context):
+    outcomes = [sent.outcome for x in context.senders for sent in x.sent]
+    assert "502" not in outcomes, outcomes
+
+
 @when('a request to {path} is sent to "node-0" in two halves, {pause_s:g} s apart')
 def send_first_half(context, path, pause_s):
     async def send():
