--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -57,6 +57,21 @@
 }
 
 
+CUT_HEAD = (
+    "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nContent-Length: 4\r\n"
+    "Replica-Signature: sig-{request_id}\r\nContent-Type: text/event-stream\r\n"
+)
+# The last text of the head that is sent before the server closes, by mode.
+CUT_HEADS = {
+    "cut_in_status": "HTTP/1.1 2",
+    "cut_after_status": "200 OK\r\n",
+    "cut_in_name": "Content-Le",
+    "cut_in_length": "Content-Length: ",
+    "cut_after_signature": "sig-{request_id}\r\n",
+    "cut_before_end": "event-stream\r\n",
+}
+
+
 @dataclass
 class ServerState:
     """State and present fault of one server.
@@ -76,6 +91,7 @@
     - ``endless``: sends an event without end as fast as it is read.
     - ``slow``: sends its events `SLOW_EVENT_S` apart, each in two parts.
     - a key of `UNFRAMED_ENDS`: sends neither a length nor chunks and ends that way.
+    - a key of `CUT_HEADS`: runs the request and closes within the head of the response.
     - ``cut_in_chunks``: ends the stream inside an event, with a valid final chunk.
 
     An engine crashes when it begins to respond to a prompt with `crash_part`: it sends
@@ -182,7 +198,9 @@
             self.set_status(ERROR_STATUSES[state.mode])
             self.write("failed")
             return
-        if state.mode in UNFRAMED_ENDS:
+        if state.mode in CUT_HEADS:
+            await self._send_cut_head(request_id, CUT_HEADS[state.mode])
+        elif state.mode in UNFRAMED_ENDS:
             await self._send_unframed(request_id, UNFRAMED_ENDS[state.mode])
         elif state.kind == "engine":
             await self._stream(request_id)
@@ -219,6 +237,13 @@
     def _first_event_number(self) -> int:
         return int(self.request.headers.get("Last-Event-Id", "0")) + 1
 
+    async def _send_cut_head(self, request_id: str, last_text: str) -> None:
+        head = CUT_HEAD.format(request_id=request_id)
+        last_text = last_text.format(request_id=request_id)
+        stream = self.detach()
+        await stream.write(head[: head.index(last_text) + len(last_text)].encode())
+        stream.close()
+
     async def _send_unframed(self, request_id: str, end: UnframedEnd) -> None:
         body = self._plain_body(request_id)
         if self.state.kind == "engine":
