Quarantine requests whose pieces crash stage servers

Evidence: the new row of crashing_request.feature failed without the change: 56 crashes in 15 s. Change: jobs carry the input ids of their request; a call that is broken off has the server checked and the requests reported like any other, and jobs of a quarantined request end at once. Measured: the row passes; features of stage_scheduling, quarantine, relay and placement pass.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -170,6 +170,8 @@
         )
         self.version_record.load()
         crashes = CrashReporter(env, self.peers, duty_owners, self.input_guard)
+        self.stage_owner.on_broken_call.append(crashes.check_stage_server)
+        self.input_guard.on_quarantined.append(self.stage_owner.fail_input)
         self.engine_placer = EnginePlacer(
             env,
             self.peers,
--- a/egretshed/daemon/tests/crashing_request.feature
+++ b/egretshed/daemon/tests/crashing_request.feature
@@ -24,3 +24,17 @@
       | read   | 0      | the nodes restart in turn | 0.3  | 0.5   |
       | read   | 0      | a node is lost            | 0.3  | 0.5   |
       | ask    | 0      | a node freezes            | 0.3  | 0.5   |
+
+  # Guards against a request whose pieces crash one stage server after the other. Others
+  # share calls with it, and stages run again what a crash has ended.
+  Scenario Outline: A piece of an "ask" request crashes servers of "<service>", <event>
+    Given 3 entry nodes and 6 servers of each service
+    And servers of "<service>" crash at a piece of one "ask" request
+    When it is sent to all nodes beside others for 14 s, and <event> after <at_s> s
+    Then at most 3 of it reach servers later than 3 s after the third crash
+    And once it reaches none it is answered 503 within 0.25 s, with a time to return
+    And of the others sent later than 5 s after the third crash, at least 0.95 are answered
+
+    Examples:
+      | service | event           | at_s |
+      | first   | nothing happens | 4    |
--- a/egretshed/daemon/tests/steps/crashing_request_steps.py
+++ b/egretshed/daemon/tests/steps/crashing_request_steps.py
@@ -22,6 +22,10 @@
 PROMPT = {"Prefix_Hash": "system:200,own:50", "Token_Usage": "250,40", "Model": "m"}
 
 
+# Headers of a request with a piece in each of two stages.
+PIECES = {"Chunks": "1,1", "Chunk_Key": "{key}"}
+
+
 class Sent(NamedTuple):
     at_s: float
     status: int
@@ -33,6 +37,20 @@
     'servers crash at a "{route}" request of one caller, after {events:d} events',
 )
 def set_crash_request(context, route, events):
+    for server in _record_crashes(context, route, SERVICES[route]):
+        server.crash_target = TARGET.format(route=route)
+        server.crash_customer = "cust"
+        server.events_before_crash = events
+
+
+@given('servers of "{service}" crash at a piece of one "{route}" request')
+def set_crash_piece(context, service, route):
+    for server in _record_crashes(context, route, service):
+        server.crash_key = "bad"
+
+
+def _record_crashes(context, route, service):
+    """Record the runs that crash servers of a service; return these servers."""
     context.route, context.crash_times_s, context.arrival_times_s = route, [], []
     crash = context.fleet.crash_server
 
@@ -42,17 +60,17 @@
             context.crash_times_s.append(time.monotonic())
 
     context.fleet.crash_server = record
-    for server in context.fleet.servers.values():
-        if server.service == SERVICES[route]:
-            server.crash = record
-            server.crash_target = TARGET.format(route=route)
-            server.crash_customer = "cust"
-            server.events_before_crash = events
+    found = [s for s in context.fleet.servers.values() if s.service == service]
+    for server in found:
+        server.crash = record
+    return found
 
 
 async def _send(context, name, target, key, request_id, outcomes):
     sent_s = time.monotonic()
-    headers = {"Authorization": f"Token {key}", **PROMPT}
+    is_bad = outcomes is context.bad
+    pieces = {n: v.format(key="bad" if is_bad else "good") for n, v in PIECES.items()}
+    headers = {"Authorization": f"Token {key}", **PROMPT, **pieces}
     try:
         response = await context.fleet.request(name, target, request_id, **headers)
         status = response.code
--- a/egretshed/gen/messages/ttypes.py
+++ b/egretshed/gen/messages/ttypes.py
@@ -3674,6 +3674,7 @@
      - far_bytes
      - needs
      - has_begun
+     - input_ids
 
     """
 
@@ -3693,10 +3694,11 @@
         'far_bytes',
         'needs',
         'has_begun',
+        'input_ids',
     )
 
 
-    def __init__(self, ticket=None, request_id=None, service_name=None, stage=None, segments=None, piece_key=None, inputs=None, deadline_ms=None, target_ms=None, priority=None, preferred_domain=None, result_bytes=None, far_bytes=None, needs=None, has_begun=None,):
+    def __init__(self, ticket=None, request_id=None, service_name=None, stage=None, segments=None, piece_key=None, inputs=None, deadline_ms=None, target_ms=None, priority=None, preferred_domain=None, result_bytes=None, far_bytes=None, needs=None, has_begun=None, input_ids=None,):
         self.ticket = ticket
         self.request_id = request_id
         self.service_name = service_name
@@ -3712,6 +3714,7 @@
         self.far_bytes = far_bytes
         self.needs = needs
         self.has_begun = has_begun
+        self.input_ids = input_ids
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3813,6 +3816,16 @@
                     self.has_begun = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.input_ids = []
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.input_ids.append(_elem128)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3842,8 +3855,8 @@
         if self.segments is not None:
             oprot.writeFieldBegin('segments', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.segments))
-            for iter123 in self.segments:
-                oprot.writeI32(iter123)
+            for iter129 in self.segments:
+                oprot.writeI32(iter129)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.piece_key is not None:
@@ -3853,8 +3866,8 @@
         if self.inputs is not None:
             oprot.writeFieldBegin('inputs', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.inputs))
-            for iter124 in self.inputs:
-                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
+            for iter130 in self.inputs:
+                oprot.writeString(iter130.encode('utf-8') if sys.version_info[0] == 2 else iter130)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deadline_ms is not None:
@@ -3884,14 +3897,21 @@
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter125 in self.needs:
-                iter125.write(oprot)
+            for iter131 in self.needs:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_begun is not None:
             oprot.writeFieldBegin('has_begun', TType.BOOL, 15)
             oprot.writeBool(self.has_begun)
             oprot.writeFieldEnd()
+        if self.input_ids is not None:
+            oprot.writeFieldBegin('input_ids', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRING, len(self.input_ids))
+            for iter132 in self.input_ids:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4068,10 +4088,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4102,8 +4122,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter132 in self.handles:
-                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            for iter139 in self.handles:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reason is not None:
@@ -4250,10 +4270,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4274,8 +4294,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter139 in self.handles:
-                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            for iter146 in self.handles:
+                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4569,11 +4589,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = TableRow()
-                        _elem145.read(iprot)
-                        self.rows.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = TableRow()
+                        _elem152.read(iprot)
+                        self.rows.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4609,8 +4629,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter146 in self.rows:
-                iter146.write(oprot)
+            for iter153 in self.rows:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -4727,20 +4747,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.part_ids = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.part_ids.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.part_ids.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.part_tokens = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = iprot.readI32()
-                        self.part_tokens.append(_elem158)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readI32()
+                        self.part_tokens.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4757,30 +4777,30 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem164)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.domains = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.domains.append(_elem170)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.domains.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.domain_bytes = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = iprot.readI64()
-                        self.domain_bytes.append(_elem176)
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = iprot.readI64()
+                        self.domain_bytes.append(_elem183)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4815,15 +4835,15 @@
         if self.part_ids is not None:
             oprot.writeFieldBegin('part_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.part_ids))
-            for iter177 in self.part_ids:
-                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
+            for iter184 in self.part_ids:
+                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_tokens is not None:
             oprot.writeFieldBegin('part_tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.part_tokens))
-            for iter178 in self.part_tokens:
-                oprot.writeI32(iter178)
+            for iter185 in self.part_tokens:
+                oprot.writeI32(iter185)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slack_ms is not None:
@@ -4837,22 +4857,22 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter179 in self.excluded:
-                oprot.writeString(iter179.encode('utf-8') if sys.version_info[0] == 2 else iter179)
+            for iter186 in self.excluded:
+                oprot.writeString(iter186.encode('utf-8') if sys.version_info[0] == 2 else iter186)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domains is not None:
             oprot.writeFieldBegin('domains', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.domains))
-            for iter180 in self.domains:
-                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
+            for iter187 in self.domains:
+                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain_bytes is not None:
             oprot.writeFieldBegin('domain_bytes', TType.LIST, 9)
             oprot.writeListBegin(TType.I64, len(self.domain_bytes))
-            for iter181 in self.domain_bytes:
-                oprot.writeI64(iter181)
+            for iter188 in self.domain_bytes:
+                oprot.writeI64(iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.request_id is not None:
@@ -4960,10 +4980,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.input_ids = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.input_ids.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.input_ids.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5003,8 +5023,8 @@
         if self.input_ids is not None:
             oprot.writeFieldBegin('input_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.input_ids))
-            for iter188 in self.input_ids:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter195 in self.input_ids:
+                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.request_id is not None:
@@ -6174,6 +6194,7 @@
     (13, TType.I64, 'far_bytes', None, None, ),  # 13
     (14, TType.LIST, 'needs', (TType.STRUCT, [StageNeed, None], False), None, ),  # 14
     (15, TType.BOOL, 'has_begun', None, None, ),  # 15
+    (16, TType.LIST, 'input_ids', (TType.STRING, 'UTF8', False), None, ),  # 16
 )
 all_structs.append(StageAccepted)
 StageAccepted.thrift_spec = (
--- a/egretshed/peers/messages.thrift
+++ b/egretshed/peers/messages.thrift
@@ -249,6 +249,7 @@
   13: required i64 far_bytes,        // transferred per piece computed in another domain
   14: required list<StageNeed> needs, // all stages that the request still needs
   15: required bool has_begun,       // some stages of the request are done
+  16: optional list<string> input_ids, // of the request, blamed if the pieces crash servers
 }
 
 // Reply to StageSubmit. With `retry_after_ms` the pieces were not queued and will not run.
--- a/egretshed/quarantine/__init__.py
+++ b/egretshed/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Keeps prompts away from engines that they would crash."""
+"""Keeps requests away from servers that they would crash."""
--- a/egretshed/quarantine/crash_reports.py
+++ b/egretshed/quarantine/crash_reports.py
@@ -27,6 +27,8 @@
 from egretshed.quarantine.guard import InputGuard
 from egretshed.quarantine.inputs import kind_of
 from egretshed.relay.request import PromptPart
+from egretshed.servers.state import ServerState
+from egretshed.stage_scheduling.jobs import StageJob
 from egretshed.upstream.exchange import (
     ConnectionRefused,
     ExchangeFailed,
@@ -90,6 +92,24 @@
             self._broken_runs[run.server_id] = [run]
             self._spawn(self._check(run.server_id, run.address))
 
+    def check_stage_server(
+        self, server: ServerState, jobs: list[StageJob], sent_s: float
+    ) -> None:
+        """Check a server that broke off a call with pieces of several requests."""
+        now_s = self.env.clock.monotonic_s()
+        for job in jobs:
+            self.check_server(
+                BrokenRun(
+                    job.request_id,
+                    job.service,
+                    server.server_id,
+                    server.address,
+                    job.input_ids,
+                    sent_s,
+                    now_s,
+                )
+            )
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/egretshed/quarantine/inputs.py
+++ b/egretshed/quarantine/inputs.py
@@ -74,6 +74,11 @@
     return kind if separator else "prompt_part"
 
 
+def whole_inputs(input_ids: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the input ids without those of parts, which only engines read."""
+    return tuple(i for i in input_ids if kind_of(i) != "prompt_part")
+
+
 def _request_fields(request: CallerRequest, customer: str) -> tuple[bytes, ...]:
     """Return what is the same whenever a caller sends a request again."""
     texts = (customer, request.method, request.host, request.target)
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -28,7 +28,7 @@
     BrokenRun,
     CrashReporter,
 )
-from egretshed.quarantine.inputs import kind_of
+from egretshed.quarantine.inputs import whole_inputs
 from egretshed.relay.events import EventSplitter
 from egretshed.relay.next_step import (
     AttemptHistory,
@@ -510,4 +510,4 @@
     """
     if service.engine is not None and not state.attempt_has_events:
         return state.input_ids
-    return tuple(i for i in state.input_ids if kind_of(i) != "prompt_part")
+    return whole_inputs(state.input_ids)
--- a/egretshed/relay/stages.py
+++ b/egretshed/relay/stages.py
@@ -5,6 +5,7 @@
 
 from egretshed.environment import Environment
 from egretshed.platform.stage_calls import result_server_address
+from egretshed.quarantine.inputs import whole_inputs
 from egretshed.relay.request_state import RequestState
 from egretshed.relay.server_selection import ServerSelector
 from egretshed.servers.registry import ServerRegistry
@@ -65,6 +66,7 @@
             request_id=state.request.request_id,
             piece_key=state.request.piece_key,
             priority=state.priority,
+            input_ids=whole_inputs(state.input_ids),
         )
         await _StageGraphRun(self, state, context, plans, service).run()
 
--- a/egretshed/stage_scheduling/client.py
+++ b/egretshed/stage_scheduling/client.py
@@ -56,6 +56,7 @@
     request_id: str
     piece_key: str
     priority: int
+    input_ids: tuple[str, ...] = ()
 
 
 class StageInputs(NamedTuple):
@@ -173,6 +174,7 @@
             far_bytes=inputs.far_bytes,
             needs=tuple((need.index, _pending_stage(need)) for need in inputs.needs),
             has_begun=inputs.has_begun,
+            input_ids=context.input_ids,
         )
 
     async def _run_here(self, job: StageJob) -> StageOutcome:
@@ -242,6 +244,7 @@
                 for need in message.needs
             ),
             message.has_begun,
+            tuple(message.input_ids or ()),
         )
 
         def report(outcome: StageOutcome) -> None:
@@ -293,6 +296,7 @@
             for stage, need in job.needs
         ],
         job.has_begun,
+        list(job.input_ids),
     )
 
 
--- a/egretshed/stage_scheduling/jobs.py
+++ b/egretshed/stage_scheduling/jobs.py
@@ -35,7 +35,7 @@
 
     `deadline_s` and `target_s` count from submission. `needs` lists all stages that the
     request still needs, each with its index. `has_begun` tells that some stages of the
-    request are done.
+    request are done. `input_ids` are suspects if a server crashes while it runs pieces.
     """
 
     node_id: str
@@ -54,6 +54,7 @@
     far_bytes: int
     needs: tuple[tuple[int, PendingStage], ...] = ()
     has_begun: bool = False
+    input_ids: tuple[str, ...] = ()
 
     @property
     def job_id(self) -> tuple[str, int]:
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -74,7 +74,11 @@
 
 
 class StageOwner:
-    """Queues jobs of stage services and runs their pieces in batched calls."""
+    """Queues jobs of stage services and runs their pieces in batched calls.
+
+    `on_broken_call` are called with a server that may have run a call and did not
+    answer it, the jobs of the call, and the time at which it was sent.
+    """
 
     def __init__(
         self,
@@ -97,6 +101,9 @@
         self._tasks: set[asyncio.Task] = set()
         self._finished: OrderedDict[JobId, StageOutcome] = OrderedDict()
         self._freer = ResultFreer(env, pool, self._on_freed, servers.has_limit_at)
+        self.on_broken_call: list[
+            Callable[[ServerState, list[StageJob], float], None]
+        ] = []
 
     def submit(self, job: StageJob, on_done: Callable[[StageOutcome], None]) -> float:
         """Queue a job; return the expected time until it is done, in seconds.
@@ -318,6 +325,7 @@
         began_at_s = self.env.clock.monotonic_s()
         slowness = self.capacity.slowness.estimate(server.server_id)
         expected_s = call_time_s(limits, len(batch), slowness)
+        jobs = [self._jobs[p.job_id].job for p in batch if p.job_id in self._jobs]
         outcome, results = await self._send_call(server, batch, expected_s)
         now_s = self.env.clock.monotonic_s()
         self.capacity.note_call_end(server.server_id, size_bytes)
@@ -342,6 +350,9 @@
         else:
             server.record_connection_failure(now_s)
             counts_as_failure = outcome == CallOutcome.MAY_HAVE_RUN
+            if counts_as_failure:
+                for listener in self.on_broken_call:
+                    listener(server, jobs, began_at_s)
             self._requeue(batch, limits, counts_as_failure=counts_as_failure)
         self._dispatch_all()
 
@@ -452,6 +463,13 @@
             is_started=bool(active.handles) or active.pieces_in_flight > 0,
         )
 
+    def fail_input(self, service: str, input_id: str) -> None:
+        """Fail the jobs of requests with an input that nodes begin to refuse."""
+        for active in list(self._jobs.values()):
+            if input_id in active.job.input_ids:
+                outcome = StageOutcome((), PieceFailure.FAILED)
+                self._fail(active.job.job_id, outcome)
+
     def _fail(self, job_id: JobId, outcome: StageOutcome) -> None:
         active = self._jobs.get(job_id)
         if active is None:
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -98,6 +98,7 @@
     the head of the response, and then `crash` ends it. A server crashes
     `CRASH_AFTER_S` after it began to run a request of customer `crash_customer` for
     the target `crash_target`; an engine has sent `events_before_crash` events by then.
+    A stage server does so with pieces whose key is `crash_key`.
 
     Events name the request and `version`, that of the server's software.
 
@@ -125,6 +126,7 @@
     crash_part: str = ""
     crash_target: str = ""
     crash_customer: str = ""
+    crash_key: str = ""
     events_before_crash: int = 0
     crash: Callable[["ServerState"], None] | None = None
     signals: dict[str, str] = field(default_factory=dict)
@@ -330,9 +332,15 @@
             self.set_status(503)
             self.set_header("Not-Executed", "1")
             return
+        entries = json.loads(self.request.body)["entries"]
+        if state.crash_key in {entry.get("key") for entry in entries}:
+            await asyncio.sleep(CRASH_AFTER_S)
+            state.crash(state)
+            self.request.connection.stream.close()
+            return
         await asyncio.sleep(state.work_s)
         results = []
-        for entry in json.loads(self.request.body)["entries"]:
+        for entry in entries:
             piece = (entry["id"], entry["stage"], entry["segment"])
             state.piece_run_counts[piece] += 1
             if state.mode == "error":
