--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -333,7 +333,8 @@
             self.set_header("Not-Executed", "1")
             return
         entries = json.loads(self.request.body)["entries"]
-        if state.crash_key in {entry.get("key") for entry in entries}:
+        keys = {entry.get("key") for entry in entries}
+        if state.crash_key and state.crash_key in keys:
             await asyncio.sleep(CRASH_AFTER_S)
             state.crash(state)
             self.request.connection.stream.close()
