Keep the ports of crashed stand-in servers from other processes

Cause: the port of a crashed stand-in server was free, and a server of another process, such as a suite that runs beside it, could get it before the crashed one was back, and answer. Change: a bound socket that does not listen holds the port until the fleet ends, so that connections are refused. The check is as strict as before.

--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -145,6 +146,7 @@
         self._http_servers: list[HTTPServer] = []
         self._http_server_of: dict[int, HTTPServer] = {}
         self._crashes: set[asyncio.Task] = set()
+        self._reserved_ports: list[socket.socket] = []
         self._folder = tempfile.TemporaryDirectory(prefix="egretshed-")
         self.folder = Path(self._folder.name)
 
@@ -167,6 +169,8 @@
             await self.stop_node(name, signal.SIGKILL)
         for task in self._crashes:
             task.cancel()
+        for reserved in self._reserved_ports:
+            reserved.close()
         for server in self._http_servers:
             server.stop()
             await server.close_all_connections()
@@ -196,11 +200,22 @@
         if http_server is None:
             return False
         http_server.stop()
+        self._reserve_port(server)
         task = asyncio.create_task(self._replace_server(server, http_server))
         self._crashes.add(task)
         task.add_done_callback(self._crashes.discard)
         return True
 
+    def _reserve_port(self, server: ServerState) -> None:
+        """Let connections to a crashed server be refused for good.
+
+        Otherwise a server of another process may get the port, and answer.
+        """
+        reserved = socket.socket(socket.AF_INET)
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((HOST, int(server.address.rpartition(":")[2])))
+        self._reserved_ports.append(reserved)
+
     async def _replace_server(
         self, server: ServerState, http_server: HTTPServer
     ) -> None:
