Log how long a server was silent and how its connection ended

An attempt that failed had the same line for a server that hung, one that closed, and a connection that this side's kernel had ended. Change: attempt_failed and request_finished have silent_s and connection_end, request_finished has is_cut, and egretshed_answers_cut_total counts the answers without an end. No decision changes.

--- a/egretshed/ingress/server.py
+++ b/egretshed/ingress/server.py
@@ -56,13 +56,15 @@
 class Reply:
     """Writes the response to one request, once.
 
-    `disconnected` is set once the caller has closed its connection.
+    `disconnected` is set once the caller has closed its connection; `is_aborted` tells
+    that this side has closed it before the end of the response.
     """
 
     def __init__(self, connection: httputil.HTTPConnection):
         self.connection = connection
         self.is_started = False
         self.is_finished = False
+        self.is_aborted = False
         # HTTP/1.0 has no chunks: a body without a length ends with the connection.
         self.can_chunk = True
         self.disconnected = asyncio.Event()
@@ -109,6 +111,7 @@
         Where the end of the connection delimits the body, only a reset shows that.
         """
         self.is_finished = True
+        self.is_aborted = True
         if (
             self.is_started
             and not self.can_chunk
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -233,6 +233,8 @@
             shared_parts=[p.part_id for p in prompt.shared_parts()] if prompt else [],
             input_ids=state.input_ids,
             has_events=state.attempt_has_events,
+            silent_s=state.silent_s,
+            connection_end=state.connection_end,
             outcome=step.value,
         )
 
@@ -244,6 +246,7 @@
     ) -> None:
         start_s = self.env.clock.monotonic_s()
         state.attempt_has_events = False
+        state.silent_s, state.connection_end = None, ""
         server.running += 1
         exchange = release_task = None
         try:
@@ -256,6 +259,9 @@
         except (ServerRefusedWork, ResultsLost):
             raise
         except BackendError as failure:
+            if exchange is not None:
+                state.silent_s = round(exchange.silent_s, 3)
+                state.connection_end = exchange.connection_end.value
             self._record_failure(server, failure)
             raise
         finally:
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -305,6 +305,12 @@
         metrics.histogram(
             "relayed_seconds", "Time from request to answer", ("route",)
         ).labels(label).observe(took_s)
+        if reply.is_aborted:
+            metrics.counter(
+                "answers_cut_total",
+                "Answers that ended without their end, by the last server's connection",
+                ("route", "connection_end"),
+            ).labels(label, state.connection_end if state else "").inc()
         fields = {"request_id": request.request_id, "took_s": round(took_s, 4)}
         if state is None:
             table = self.table()
@@ -327,6 +333,9 @@
             server_id=state.server_id,
             ran_on=state.possible_executions,
             sends=state.send_count,
+            is_cut=reply.is_aborted,
+            silent_s=state.silent_s,
+            connection_end=state.connection_end,
             framing=state.framing,
             incomplete_event_bytes=state.incomplete_event_bytes,
             stages_s=_seconds_since(state.stages_done_s, request.received_s),
--- a/egretshed/upstream/exchange.py
+++ b/egretshed/upstream/exchange.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import errno
 import socket
 import time
 from collections import deque
@@ -79,6 +80,19 @@
     CONNECTION = "connection"
 
 
+class ConnectionEnd(StrEnum):
+    """How a connection to a server ended, as its kernel reports it.
+
+    `UNACKNOWLEDGED` is an end by this side's kernel: the other side did not acknowledge
+    data or keep-alive probes in time.
+    """
+
+    NONE = "none"
+    CLOSED = "closed"
+    RESET = "reset"
+    UNACKNOWLEDGED = "unacknowledged"
+
+
 class ProgressLimit(NamedTuple):
     """Least progress of a body: `least_bytes` must arrive within each `window_s`.
 
@@ -133,17 +147,20 @@
         self.head.add_done_callback(lambda f: f.cancelled() or f.exception())
         self.chunks: deque[bytes] = deque()
         self.end_reason: str | None = None
+        self.received_s = time.monotonic()
         self._buffered_bytes = 0
         self._updated = asyncio.Event()
         self._may_read = asyncio.Event()
         self._may_read.set()
 
     def headers_received(self, start_line, headers) -> None:
+        self.received_s = time.monotonic()
         if start_line.code < FIRST_FINAL_STATUS or self.head.done():
             return
         self.head.set_result(ResponseHead(start_line.code, start_line.reason, headers))
 
     async def data_received(self, chunk: bytes) -> None:
+        self.received_s = time.monotonic()
         self.chunks.append(chunk)
         self._buffered_bytes += len(chunk)
         self._updated.set()
@@ -312,6 +329,19 @@
             return Framing.LENGTH
         return Framing.CONNECTION
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the head or a piece of the body arrived, or since the send."""
+        return time.monotonic() - self._delegate.received_s
+
+    @property
+    def connection_end(self) -> ConnectionEnd:
+        if isinstance(self.stream.error, OSError):
+            if self.stream.error.errno == errno.ETIMEDOUT:
+                return ConnectionEnd.UNACKNOWLEDGED
+            return ConnectionEnd.RESET
+        return ConnectionEnd.CLOSED if self.stream.closed() else ConnectionEnd.NONE
+
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another request."""
         head = self._head
--- a/egretshed/upstream/tests/exchange.feature
+++ b/egretshed/upstream/tests/exchange.feature
@@ -26,3 +26,15 @@
   Scenario: No server listens on the port
     When a request is sent to a port without a listener
     Then it failed and cannot have run
+
+  # Guards against logs that do not tell a server that closed from a link without sound.
+  Scenario Outline: A server that <ending>
+    Given a server that sends HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok and then <ending>
+    When a request to it has its head, and 0.2 s pass
+    Then its connection is "<end>", and the server was silent for 0.1 s or more
+
+    Examples:
+      | ending | end    |
+      | waits  | none   |
+      | closes | closed |
+      | resets | reset  |
--- a/egretshed/upstream/tests/steps/exchange_steps.py
+++ b/egretshed/upstream/tests/steps/exchange_steps.py
@@ -85,3 +85,26 @@
 def check_not_run(context):
     assert context.outcome == "failed"
     assert not context.error.may_have_run
+
+
+@when("a request to it has its head, and {pause_s:g} s pass")
+def await_end(context, pause_s):
+    async def send():
+        pool = ConnectionPool(make_environment(SystemClock()))
+        exchange = await pool.open(context.address, BODY_LIMIT_BYTES)
+        try:
+            exchange.send(OutgoingRequest("GET", "/", (("Host", "h"),)))
+            await exchange.head()
+            await asyncio.sleep(pause_s)
+            return exchange.connection_end, exchange.silent_s
+        finally:
+            exchange.close()
+            pool.close()
+
+    context.end, context.silent_s = run(context, send())
+
+
+@then('its connection is "{end}", and the server was silent for {least_s:g} s or more')
+def check_end(context, end, least_s):
+    assert context.end == end, context.end
+    assert context.silent_s >= least_s, context.silent_s
