Add tests of sound servers that fall silent, which fail

What callers see: a stream that has begun is closed without an end, or a request is answered 502 or 504, although its server goes on after 1.0 to 3.0 s.

--- /dev/null
+++ b/egretshed/daemon/tests/steps/silence_steps.py
@@ -0,0 +1,171 @@
+import asyncio
+
+from behave import (
+    given,
+    then,
+    when,
+)
+
+from standins.behave_loop import run
+from standins.users_platform.fleet import Fleet
+from standins.users_platform.servers import Silence
+from standins.users_platform.store import SERVER_TABLE
+
+EVENTS = 8
+EVENT_S = 0.1
+LIST_DELAY_S = 0.6
+# The servers have the requests after this time, and have not responded by then.
+ON_THE_WAY_S = 0.3
+WORK_S = 0.6
+# Four events of a stream have arrived after this time.
+WITHIN_RESPONSE_S = 0.45
+POLL_S = 0.02
+DEADLINE_MS = "8000"
+OPTIONS = {"request_timeout": 12.0}
+NODES = 3
+
+
+def _servers(context, service):
+    return [s for s in context.fleet.servers.values() if s.service == service]
+
+
+def _put_entry(context, server):
+    context.fleet.store.put_json(SERVER_TABLE, server.server_id, server.entry())
+
+
+def _slow_events(context):
+    for server in _servers(context, "engine"):
+        server.events, server.event_s = EVENTS, EVENT_S
+
+
+@given(
+    "{nodes:d} entry nodes with a retry slack of {slack:d} and {count:d} servers of"
+    " each service"
+)
+def start_fleet(context, nodes, slack, count):
+    context.fleet = Fleet(nodes, count, bounds={"retry_slack": slack})
+    run(context, context.fleet.__aenter__())
+    context.add_cleanup(lambda: run(context, context.fleet.__aexit__()))
+    _slow_events(context)
+
+
+@given('the servers of "{service}" fall silent for {for_s:g} s {place}')
+def set_silence(context, service, for_s, place):
+    before_event = 0 if place == "at first" else int(place.rpartition(" ")[2])
+    for server in _servers(context, service):
+        server.silence = Silence(for_s, before_event)
+
+
+@given('the other servers of "{service}" {others}')
+def set_others(context, service, others):
+    context.spoil_others = None
+    servers = _servers(context, service)
+    if others == "have another version":
+        for number, server in enumerate(servers):
+            server.version = f"v{number}"
+            _put_entry(context, server)
+        run(context, asyncio.sleep(LIST_DELAY_S))
+    elif others == "are full":
+        context.spoil_others = lambda: [_fill(server) for server in servers]
+    elif others == "cannot be reached":
+        context.spoil_others = lambda: [_unlist(context, server) for server in servers]
+
+
+def _fill(server):
+    """Let a server refuse requests that it does not have yet."""
+    server.mode = "full"
+
+
+def _unlist(context, server):
+    """Let nothing listen at the listed address; open connections stay."""
+    context.fleet.stop_listening(server)
+
+
+async def _send(context, route, count):
+    requests = [
+        context.fleet.request(
+            f"node-{number % NODES}",
+            f"/{route}/x",
+            f"{route}-{number}",
+            OPTIONS,
+            Deadline_Ms=DEADLINE_MS,
+        )
+        for number in range(count)
+    ]
+    return await asyncio.gather(*requests)
+
+
+def _running(context, route):
+    """Return how many requests of a route have reached a server."""
+    started = set()
+    for server in context.fleet.servers.values():
+        started |= {i for i in server.run_counts if i.startswith(f"{route}-")}
+    return len(started)
+
+
+@when('{count:d} "{route}" requests are sent at once')
+def send_at_once(context, count, route):
+    async def send():
+        sending = asyncio.create_task(_send(context, route, count))
+        if context.spoil_others is not None:
+            while _running(context, route) < count:
+                await asyncio.sleep(POLL_S)
+            context.spoil_others()
+        return await sending
+
+    context.route, context.responses = route, run(context, send())
+
+
+@when(
+    '{count:d} "{route}" requests are sent while the links of "{service}" fall silent'
+    " for {for_s:g} s {place}"
+)
+def send_while_silent(context, count, route, service, for_s, place):
+    _slow_events(context)
+    delay_s = {
+        "as they are sent": 0.0,
+        "before the response": ON_THE_WAY_S,
+        "within the response": WITHIN_RESPONSE_S,
+    }[place]
+    for server in _servers(context, service):
+        server.work_s = WORK_S
+        if place == "before the response":
+            server.event_s = WORK_S
+
+    async def send():
+        silencing = None
+        if not delay_s:
+            silencing = asyncio.create_task(context.fleet.silence_links(service, for_s))
+            await asyncio.sleep(0)
+        sending = asyncio.create_task(_send(context, route, count))
+        if silencing is None:
+            await asyncio.sleep(delay_s)
+            await context.fleet.silence_links(service, for_s)
+        return await sending
+
+    context.route, context.responses = route, run(context, send())
+
+
+@then("each is answered whole")
+def each_is_whole(context):
+    statuses = [response.code for response in context.responses]
+    assert set(statuses) == {200}, statuses
+    if context.route in ("ask", "digest"):
+        for response in context.responses:
+            numbers = [
+                int(line.removeprefix(b"id: "))
+                for line in response.body.splitlines()
+                if line.startswith(b"id: ")
+            ]
+            assert numbers == list(range(1, EVENTS + 1)), response.body
+
+
+@then("each is answered whole, and ran once")
+def each_is_whole_and_ran_once(context):
+    each_is_whole(context)
+    for number in range(len(context.responses)):
+        runs = sum(
+            server.run_counts[f"{context.route}-{number}"]
+            for server in context.fleet.servers.values()
+        )
+        assert runs == 1, (number, runs)
--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import (
     Any,
@@ -14,10 +15,10 @@
 )
 
 from tornado.httpclient import AsyncHTTPClient
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from standins.linked_server import LinkedServer
 from standins.ports import free_ports
 from standins.users_platform.servers import (
     ServerState,
@@ -121,10 +122,17 @@
 
     The nodes are processes of their own; the row store and the backend servers run in
     this process. `servers` counts those of each service; `engines` replaces it for the
-    engines.
+    engines. `bounds` adds to those in the settings of the nodes.
     """
 
-    def __init__(self, nodes: int = 3, servers: int = 2, engines: int | None = None):
+    def __init__(
+        self,
+        nodes: int = 3,
+        servers: int = 2,
+        engines: int | None = None,
+        bounds: dict[str, float] | None = None,
+    ):
+        self.bounds = {"shutdown_s": 4.0, **(bounds or {})}
         self.store = RowStoreState()
         self.node_count = nodes
         kinds = {
@@ -143,8 +151,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.ports: dict[str, list[int]] = {}
         self.client = AsyncHTTPClient(force_instance=True, max_clients=200)
-        self._http_servers: list[HTTPServer] = []
-        self._http_server_of: dict[int, HTTPServer] = {}
+        self._http_servers: list[LinkedServer] = []
+        self._http_server_of: dict[int, LinkedServer] = {}
         self._crashes: set[asyncio.Task] = set()
         self._reserved_ports: list[socket.socket] = []
         self._folder = tempfile.TemporaryDirectory(prefix="egretshed-")
@@ -178,7 +186,7 @@
         self._folder.cleanup()
 
     def _listen(self, application: Any) -> int:
-        server = HTTPServer(application)
+        server = LinkedServer(application)
         sockets = bind_sockets(0, HOST)
         server.add_sockets(sockets)
         self._http_servers.append(server)
@@ -206,6 +214,27 @@
         task.add_done_callback(self._crashes.discard)
         return True
 
+    def stop_listening(self, server: ServerState) -> None:
+        """Let connections to a server be refused; those that are open stay."""
+        self._http_server_of[id(server)].stop()
+        self._reserve_port(server)
+
+    async def silence_links(self, service: str, for_s: float) -> None:
+        """Let the links of all servers of a service be silent for a time.
+
+        Their hosts drop what arrives, except for handshakes. What they send comes late
+        by as much again, as with retransmissions that back off.
+        """
+        servers = [s for s in self.servers.values() if s.service == service]
+        for server in servers:
+            server.link_back_s = time.monotonic() + 2 * for_s
+        links = [self._http_server_of[id(server)] for server in servers]
+        for link in links:
+            link.drop_incoming()
+        await asyncio.sleep(for_s)
+        for link in links:
+            link.pass_incoming()
+
     def _reserve_port(self, server: ServerState) -> None:
         """Let connections to a crashed server be refused for good.
 
@@ -217,7 +246,7 @@
         self._reserved_ports.append(reserved)
 
     async def _replace_server(
-        self, server: ServerState, http_server: HTTPServer
+        self, server: ServerState, http_server: LinkedServer
     ) -> None:
         await http_server.close_all_connections()
         self._http_servers.remove(http_server)
@@ -252,7 +281,7 @@
                 "metrics": f"{HOST}:{metrics}",
             },
             "failure_domain_regions": {"a": "r", "b": "r", "c": "r"},
-            "bounds": {"shutdown_s": 4.0},
+            "bounds": self.bounds,
             "feeds": {"store_readers": 1},
         }
 
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -57,6 +57,17 @@
 }
 
 
+class Silence(NamedTuple):
+    """A time for which a sound server sends nothing.
+
+    It begins before the response, or before event `before_event` of a stream. A server
+    falls silent once for each request.
+    """
+
+    for_s: float
+    before_event: int = 0
+
+
 CUT_HEAD = (
     "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nContent-Length: 4\r\n"
     "Replica-Signature: sig-{request_id}\r\nContent-Type: text/event-stream\r\n"
@@ -102,6 +113,9 @@
 
     Events name the request and `version`, that of the server's software.
 
+    With `silence` the server is sound but silent for a time. While its link is silent,
+    until `link_back_s`, it sends nothing either.
+
     All responses have the headers in `signals`. `arrival_times_s` are monotonic.
 
     `run_counts` is by request ID, `piece_run_counts` by (request ID, stage, segment).
@@ -129,6 +143,9 @@
     crash_key: str = ""
     events_before_crash: int = 0
     crash: Callable[["ServerState"], None] | None = None
+    silence: Silence | None = None
+    silenced: set[str] = field(default_factory=set)
+    link_back_s: float = 0.0
     signals: dict[str, str] = field(default_factory=dict)
     arrival_times_s: list[float] = field(default_factory=list)
 
@@ -192,6 +209,8 @@
             return
         if state.mode == "hang":
             await asyncio.sleep(60)
+        if state.silence is not None and not state.silence.before_event:
+            await self._be_silent(request_id)
         if state.mode == "lost":
             await asyncio.sleep(state.work_s)
             self.request.connection.stream.close()
@@ -208,8 +227,17 @@
             await self._stream(request_id)
         else:
             await asyncio.sleep(state.work_s)
+            await self._await_link()
             self.write(self._plain_body(request_id))
 
+    async def _be_silent(self, request_id: str) -> None:
+        if request_id not in self.state.silenced:
+            self.state.silenced.add(request_id)
+            await asyncio.sleep(self.state.silence.for_s)
+
+    async def _await_link(self) -> None:
+        await asyncio.sleep(max(0.0, self.state.link_back_s - time.monotonic()))
+
     def _crashes_server(self) -> bool:
         customer = self.request.headers.get("Tenant", "")
         wanted = (self.state.crash_target, self.state.crash_customer)
@@ -284,6 +312,9 @@
                 return
             for number in range(self._first_event_number(), state.events + 1):
                 await asyncio.sleep(state.event_s)
+                await self._await_link()
+                if state.silence is not None and state.silence.before_event == number:
+                    await self._be_silent(request_id)
                 if state.mode == "endless":
                     await self._send_without_end(b"d" * ENDLESS_CHUNK_BYTES, 0)
                 if state.mode == "drip" and number > DRIP_EVENTS:
