Keep connections to servers whose link is silent for a second or two

What callers saw: bookings and lookups answered 502, and streams closed without an end, although their server was sound. Its link had brought nothing for 1.0 to 2.0 s. Cause: this side's kernel. TCP_USER_TIMEOUT of 0.8 s ended a connection whose request was not acknowledged, and with keep-alive after 1 s one that had received nothing for 2 s. Packets are sent again after 0.2, 0.6, 1.4 and 3 s, so that a silence of 1.5 s lasts 3 s for the connection. Ruled out: the servers, which wrote and read on; a limit of the relay: bookings and plain streams have none, and the log has connection_end unacknowledged. Change: LossDetection is a parameter of a connection. Requests of callers allow 5 s, which is below the time for which callers wait for a stream; calls that can be made again keep 0.8 s.

--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -48,6 +48,7 @@
 from egretshed.servers.state import ServerState
 from egretshed.serving.schema import Service
 from egretshed.upstream.exchange import (
+    PATIENT_DETECTION,
     Exchange,
     ExchangeFailed,
     Framing,
@@ -280,7 +281,9 @@
 
     async def _send(self, state: RequestState, server: ServerState) -> Exchange:
         limit_bytes = MAX_STREAM_BYTES if state.route.is_stream else MAX_BUFFERED_BYTES
-        exchange = await self.pool.open(server.address, limit_bytes)
+        exchange = await self.pool.open(
+            server.address, limit_bytes, detection=PATIENT_DETECTION
+        )
         try:
             # It may have been quarantined while a server and a connection were sought.
             self.crashes.guard.check(state.service, state.input_ids)
--- a/egretshed/upstream/exchange.py
+++ b/egretshed/upstream/exchange.py
@@ -28,13 +28,6 @@
 
 from egretshed.errors import BackendError
 
-# The kernel closes a connection to a lost VM once data has been unacknowledged for this
-# long; its default is about 15 minutes.
-USER_TIMEOUT_MS = 800
-# TCP keep-alive detects a lost VM within about 3 s while a response is awaited.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 # Backpressure: above this much unread data, no more is read from the connection.
 READ_AHEAD_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 64 * 1024
@@ -93,6 +86,30 @@
     UNACKNOWLEDGED = "unacknowledged"
 
 
+class LossDetection(NamedTuple):
+    """When the kernel ends a connection whose other side acknowledges nothing.
+
+    It does so once data has been unacknowledged for `unacknowledged_s`. While this side
+    awaits a response, it sends keep-alive probes every `probe_interval_s`; these count
+    as data. See ``tcp(7)``, ``TCP_USER_TIMEOUT`` and ``TCP_KEEPIDLE``. Packets that are
+    lost are sent again after 0.2, 0.6, 1.4 and 3 s, so that a link that is silent for
+    1.5 s brings nothing for 3 s::
+
+        LossDetection(unacknowledged_s=5.0, probe_interval_s=1)
+    """
+
+    unacknowledged_s: float
+    probe_interval_s: int
+
+
+# For calls that may be made again, to another server or later.
+QUICK_DETECTION = LossDetection(unacknowledged_s=0.8, probe_interval_s=1)
+# For requests of callers. Their server may be sound behind a link that is silent for a
+# second or two, and ending a request that cannot be repeated helps no caller.
+PATIENT_DETECTION = LossDetection(unacknowledged_s=5.0, probe_interval_s=1)
+KEEPALIVE_PROBES = 2
+
+
 class ProgressLimit(NamedTuple):
     """Least progress of a body: `least_bytes` must arrive within each `window_s`.
 
@@ -196,7 +213,9 @@
         return chunk
 
 
-async def connect(address: str, timeout_s: float) -> ServerStream:
+async def connect(
+    address: str, timeout_s: float, detection: LossDetection = QUICK_DETECTION
+) -> ServerStream:
     """Connect to ``HOST:PORT``; raise `ExchangeFailed`, with nothing sent.
 
     It is a `ConnectionRefused` if the host answered that nothing listens there.
@@ -204,10 +223,13 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, detection.probe_interval_s),
+        (socket.TCP_KEEPINTVL, detection.probe_interval_s),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, int(detection.unacknowledged_s * 1000)),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
     stream = ServerStream(sock)
     try:
         async with asyncio.timeout(timeout_s):
--- a/egretshed/upstream/pool.py
+++ b/egretshed/upstream/pool.py
@@ -19,8 +19,10 @@
 from egretshed.environment import Environment
 from egretshed.logs import log_event
 from egretshed.upstream.exchange import (
+    QUICK_DETECTION,
     Exchange,
     ExchangeFailed,
+    LossDetection,
     OutgoingRequest,
     ResponseHead,
     ResponseTimeouts,
@@ -75,11 +77,13 @@
         body_limit_bytes: int,
         reuse: bool = False,
         needs_id: bool = True,
+        detection: LossDetection = QUICK_DETECTION,
     ) -> Exchange:
         """Return an exchange for one request; raise `ExchangeFailed` (nothing sent).
 
         An idle connection is used only if `reuse` is set. With `needs_id`, its server
-        must have repeated the ids of earlier requests.
+        must have repeated the ids of earlier requests. `detection` applies to a new
+        connection.
         """
         stream = self._take_idle(address, needs_id) if reuse else None
         is_reused = stream is not None
@@ -87,7 +91,7 @@
             self.env.metrics.counter(
                 "server_connections_total", "Connections opened to servers"
             ).inc()
-            stream = await connect(address, CONNECT_TIMEOUT_S)
+            stream = await connect(address, CONNECT_TIMEOUT_S, detection)
         return Exchange(stream, body_limit_bytes, is_reused)
 
     async def fetch(
