Leave a silent server only once another one has its request

Cause: a limit on silence ended the attempt first; only then was it asked whether the request may be sent again. Where no retry was left, no other server had the stream's version, the others were full or out of reach, or the stage results were gone, the request ended although its server would have gone on. Ruled out: the change of the configuration. The same happens without one; beside one it counts. Change: the limits begin a search (relay/silence.py). relay/successor.py chooses, connects, sends, and waits 0.2 s for a refusal while the first server is awaited as well; whichever goes on is used, so that two never work on a stream for long. Stages are run again before that if their results are gone. If no server is found, the first one is awaited and the search repeated every 0.5 s until the deadline. relay/dispatch.py holds what both ways of sending share.

--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -9,7 +9,6 @@
 from egretshed.environment import Environment
 from egretshed.errors import (
     BackendError,
-    InputQuarantined,
     NotRun,
     RequestFailed,
     ResultsLost,
@@ -22,66 +21,62 @@
 )
 from egretshed.platform.http_messages import (
     decode_response_head,
-    encode_forwarded_request,
 )
 from egretshed.quarantine.crash_reports import (
     BrokenRun,
     CrashReporter,
 )
 from egretshed.quarantine.inputs import whole_inputs
+from egretshed.relay.dispatch import (
+    SERVER_ERROR_STATUS,
+    Dispatcher,
+)
 from egretshed.relay.events import EventSplitter
 from egretshed.relay.next_step import (
     AttemptHistory,
     NextStep,
     next_step,
 )
-from egretshed.relay.request import (
-    ForwardFields,
-    ServerResponse,
-)
+from egretshed.relay.request import ServerResponse
 from egretshed.relay.request_state import RequestState
 from egretshed.relay.server_selection import ServerSelector
+from egretshed.relay.server_wait import ServerWait
+from egretshed.relay.silence import (
+    event_gap_limit_s,
+    first_event_limit_s,
+    response_limit_s,
+)
 from egretshed.relay.stages import StageRunner
 from egretshed.relay.stream_resumption import StreamResumption
+from egretshed.relay.successor import (
+    ServerSilent,
+    Successor,
+    SuccessorFinder,
+)
 from egretshed.retries.shared_budget import SharedRetryBudget
 from egretshed.servers.registry import ServerRegistry
 from egretshed.servers.state import ServerState
 from egretshed.serving.schema import Service
 from egretshed.upstream.exchange import (
-    PATIENT_DETECTION,
     Exchange,
     ExchangeFailed,
     Framing,
 )
 from egretshed.upstream.pool import ConnectionPool
 
-MAX_STREAM_BYTES = 64 * 1024 * 1024
-# Responses that are not streams are kept in memory until they are complete.
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 # Retry-After of requests that no server could take.
 RETRY_AFTER_S = 0.25
 # Callers that are told to return when a pause ends do so over this share of it.
 RETRY_SPREAD_SHARE = 0.25
-# A repeatable request gives up on a server that has not responded within this multiple
-# of the server's usual latency, and no sooner than the minimum.
-RESPONSE_TIMEOUT_FACTOR = 5.0
-MIN_RESPONSE_TIMEOUT_S = 0.25
-# A resumable stream waits for its first event this multiple of the route's latency
-# objective, and for each further event this multiple of the route's event pause.
-FIRST_EVENT_TIMEOUT_FACTOR = 1.3
-EVENT_GAP_TIMEOUT_FACTOR = 2.5
-MIN_STREAM_TIMEOUT_S = 0.8
-MISDIRECTED_STATUS = 421
+# With less time than this left, a failed response is passed on instead of a retry.
+MIN_RETRY_TIME_S = 0.25
 # The engine reports that a stage result it needs has been evicted.
 RESULTS_GONE_STATUS = 409
 # Statuses that a caller takes as proof that the request did not run. They are not
 # forwarded, since only the server's explicit header is such a proof.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
-# Time for which this node avoids a server that refused a request for lack of capacity.
-REFUSAL_BACKOFF_S = 0.05
 # Pause before a request is sent to a server that it was sent to before.
 RETRIED_SERVER_PAUSE_S = 0.05
-SERVER_ERROR_STATUS = 500
 
 
 class AttemptRunner:
@@ -104,49 +99,54 @@
         self.selector = selector
         self.placer = placer
         self.stages = stages
-        self.pool = pool
         self.budget = budget
         self.crashes = crashes
         self.resumption = resumption
+        self.dispatcher = Dispatcher(
+            env, servers, selector, placer, stages, pool, crashes.guard
+        )
+        self.successors = SuccessorFinder(
+            env, self.dispatcher, stages, budget, resumption.may_go_on
+        )
 
     async def run(self, state: RequestState, service: Service) -> None:
         """Reply to the caller.
 
         Raises `NotRun`, `ResultsLost`, `RequestFailed` or `InputQuarantined`.
         """
+        successor: Successor | None = None
         while True:
-            server, placement = await self._select_server(state, service)
+            if successor is None:
+                server, placement = await self._select_server(state, service)
+                exchange = None
+            else:
+                server, placement, exchange = successor
+                successor = None
             try:
-                await self._run_attempt(state, server, placement)
+                await self._run_attempt(state, service, server, placement, exchange)
                 self.crashes.guard.record_completion(service.name, state.input_ids)
                 return
+            except ServerSilent as silence:
+                self._report_crash(state, service, server, silence)
+                state.tried_ids.add(server.server_id)
+                self._log_failure(state, server, silence, NextStep.RETRY)
+                successor = silence.successor
             except BackendError as failure:
                 self._report_crash(state, service, server, failure)
                 self._handle_failure(state, service, server, failure)
             finally:
-                if placement is not None:
-                    self.placer.note_end(placement)
+                self.dispatcher.end_placement(placement)
 
     async def _select_server(
         self, state: RequestState, service: Service
     ) -> tuple[ServerState, EnginePlacement | None]:
-        sizes = self.stages.bytes_by_domain(state)
-        excluded_ids = set(state.tried_ids)
-        while True:
-            chosen = await self.selector.choose(state, service, excluded_ids, sizes)
-            if chosen is None and state.tried_ids and not state.reply.is_started:
-                # All servers have been tried; one of them may return or have capacity.
-                await self.env.clock.sleep(RETRIED_SERVER_PAUSE_S)
-                chosen = await self.selector.choose(state, service, set(), sizes)
-            if chosen is None:
-                break
-            server, placement = chosen
-            if self.servers.acquire_send_permit(server, service.cold_requests_per_s):
-                return chosen
-            # While the engine was chosen, another request took the permit.
-            if placement is not None:
-                self.placer.note_end(placement)
-            excluded_ids.add(server.server_id)
+        chosen = await self.dispatcher.choose(state, service, state.tried_ids)
+        if chosen is None and state.tried_ids and not state.reply.is_started:
+            # All servers have been tried; one of them may return or have capacity.
+            await self.env.clock.sleep(RETRIED_SERVER_PAUSE_S)
+            chosen = await self.dispatcher.choose(state, service, set())
+        if chosen is not None:
+            return chosen
         if state.may_have_run:
             raise RequestFailed("no server left to retry on", reason="no_server")
         raise NotRun(
@@ -242,28 +242,35 @@
     async def _run_attempt(
         self,
         state: RequestState,
+        service: Service,
         server: ServerState,
         placement: EnginePlacement | None,
+        exchange: Exchange | None,
     ) -> None:
-        start_s = self.env.clock.monotonic_s()
+        """Run one attempt; `exchange` is that of a server that has the request."""
+        start_s = self.env.clock.monotonic_s() if exchange is None else state.sent_s
         state.attempt_has_events = False
         state.silent_s, state.connection_end = None, ""
         server.running += 1
-        exchange = release_task = None
+        release_task = None
         try:
-            exchange = await self._send(state, server)
+            if exchange is None:
+                exchange = await self.dispatcher.open(state, server)
+                self.dispatcher.send(state, server, exchange)
             if state.stage_results:
                 release_task = asyncio.create_task(
                     self.stages.release_after_fetch(state)
                 )
-            await self._relay_response(state, server, exchange, start_s, placement)
+            wait = ServerWait(self.successors, state, service, server)
+            await self._relay_response(wait, exchange, start_s, placement)
         except (ServerRefusedWork, ResultsLost):
             raise
         except BackendError as failure:
             if exchange is not None:
                 state.silent_s = round(exchange.silent_s, 3)
                 state.connection_end = exchange.connection_end.value
-            self._record_failure(server, failure)
+            if not isinstance(failure, ServerSilent):
+                self._record_failure(server, failure)
             raise
         finally:
             server.running -= 1
@@ -279,45 +286,19 @@
         else:
             server.record_response(False, now_s)
 
-    async def _send(self, state: RequestState, server: ServerState) -> Exchange:
-        limit_bytes = MAX_STREAM_BYTES if state.route.is_stream else MAX_BUFFERED_BYTES
-        exchange = await self.pool.open(
-            server.address, limit_bytes, detection=PATIENT_DETECTION
-        )
-        try:
-            # It may have been quarantined while a server and a connection were sought.
-            self.crashes.guard.check(state.service, state.input_ids)
-        except InputQuarantined:
-            exchange.close()
-            raise
-        now_s = self.env.clock.monotonic_s()
-        fields = ForwardFields(
-            server_id=server.server_id,
-            remaining_s=state.remaining_s(now_s),
-            customer=state.customer.name if state.customer else "",
-            priority=state.priority if state.route.is_stream else None,
-            stage_results=state.stage_results,
-            last_event_id=state.last_event_id,
-        )
-        state.sent_wall_ms = int(self.env.clock.wall_s() * 1000)
-        state.sent_s = now_s
-        state.send_count += 1
-        state.possible_executions += 1
-        state.server_id = server.server_id
-        exchange.send(encode_forwarded_request(state.request, fields))
-        return exchange
-
     async def _relay_response(
         self,
-        state: RequestState,
-        server: ServerState,
+        wait: ServerWait,
         exchange: Exchange,
-        start_s,
-        placement,
+        start_s: float,
+        placement: EnginePlacement | None,
     ) -> None:
         """Relay the server's response to the caller."""
-        timeout_s = self._head_timeout_s(state, server)
-        head = await self._with_timeout(timeout_s, exchange.head())
+        state, server = wait.state, wait.server
+        limit_s = response_limit_s(
+            state.route, state.possible_executions, server.latency_s
+        )
+        head = await wait.wait(limit_s, exchange.head())
         response = decode_response_head(head)
         state.framing = exchange.framing
         now_s = self.env.clock.monotonic_s()
@@ -329,38 +310,22 @@
             )
         self.servers.record_signals(server, response.signals, start_s)
         if response.proves_not_run:
-            state.possible_executions -= 1
+            refusal = self.dispatcher.note_refusal(state, server, response)
             if response.status == RESULTS_GONE_STATUS and state.stage_results:
                 raise ResultsLost(
                     "the engine no longer has a stage result", reason="results_gone"
                 )
-            self._record_refusal(server, response, now_s)
-            raise ServerRefusedWork(
-                f"server refused the request with status {response.status}",
-                status=response.status,
-                may_have_run=False,
-            )
+            raise refusal
         if state.reply.is_started and not response.is_success:
             raise ExchangeFailed(
                 f"resuming the stream failed with status {response.status}",
                 may_have_run=True,
             )
         if not state.route.is_stream or not response.is_success:
-            body = await self._with_timeout(timeout_s, exchange.body())
+            body = await wait.wait(limit_s, exchange.body())
             self._relay_buffered(state, server, response, body, start_s)
             return
-        await self._relay_stream(state, server, exchange, response, placement)
-
-    def _record_refusal(
-        self, server: ServerState, response: ServerResponse, now_s: float
-    ) -> None:
-        if response.status == MISDIRECTED_STATUS:
-            # Another server now has this address.
-            server.record_connection_failure(now_s)
-        else:
-            server.backoff_until_s = max(
-                server.backoff_until_s, now_s + REFUSAL_BACKOFF_S
-            )
+        await self._relay_stream(wait, exchange, response, placement)
 
     def _relay_buffered(
         self,
@@ -400,16 +365,15 @@
         return (
             state.route.is_retryable
             and state.possible_executions < state.route.max_attempts
-            and state.remaining_s(now_s) > MIN_RESPONSE_TIMEOUT_S
+            and state.remaining_s(now_s) > MIN_RETRY_TIME_S
         )
 
     async def _relay_stream(
         self,
-        state: RequestState,
-        server: ServerState,
+        wait: ServerWait,
         exchange: Exchange,
-        response,
-        placement,
+        response: ServerResponse,
+        placement: EnginePlacement | None,
     ) -> None:
         """Relay events as they arrive.
 
@@ -417,17 +381,20 @@
         are no progress. A stream that ends inside an event was cut, however its
         response was framed.
         """
+        state, server = wait.state, wait.server
         self._check_response(response, state)
         clock = self.env.clock
         splitter = EventSplitter()
         pieces = exchange.body_chunks()
-        timeout_s, since_s = self._first_event_timeout_s(state), clock.monotonic_s()
+        executions = state.possible_executions
+        limit_s = first_event_limit_s(state.route, executions)
+        since_s = clock.monotonic_s()
         while True:
             left_s = None
-            if timeout_s is not None:
-                left_s = max(0.0, since_s + timeout_s - clock.monotonic_s())
+            if limit_s is not None:
+                left_s = max(0.0, since_s + limit_s - clock.monotonic_s())
             try:
-                chunk = await self._with_timeout(left_s, anext(pieces))
+                chunk = await wait.wait(left_s, anext(pieces))
             except StopAsyncIteration:
                 break
             events = splitter.feed(chunk)
@@ -438,7 +405,8 @@
                 state.attempt_has_events = True
             await self._forward(state, response, events, placement)
             state.last_event_id = splitter.last_event_id or state.last_event_id
-            timeout_s, since_s = self._event_gap_timeout_s(state), clock.monotonic_s()
+            limit_s = event_gap_limit_s(state.route, state.possible_executions)
+            since_s = clock.monotonic_s()
         state.incomplete_event_bytes = len(splitter.remainder())
         if splitter.is_inside_event():
             raise ExchangeFailed("stream ended inside an event", may_have_run=True)
@@ -470,46 +438,6 @@
             state.reply.start(response.status, list(response.headers))
         await state.reply.write(events)
 
-    async def _with_timeout(self, timeout_s: float | None, awaitable):
-        """Await `awaitable`; raise `ExchangeFailed` if `timeout_s` seconds pass."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await awaitable
-        except TimeoutError:
-            raise ExchangeFailed(
-                "timed out waiting for the server", may_have_run=True
-            ) from None
-
-    def _head_timeout_s(self, state: RequestState, server: ServerState) -> float | None:
-        if (
-            not state.route.is_retryable
-            or state.possible_executions >= state.route.max_attempts
-        ):
-            return None
-        if state.route.is_stream:
-            return self._first_event_timeout_s(state)
-        return max(MIN_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_FACTOR * server.latency_s)
-
-    def _first_event_timeout_s(self, state: RequestState) -> float | None:
-        if not self._has_attempts_to_resume(state):
-            return None
-        return max(
-            MIN_STREAM_TIMEOUT_S,
-            FIRST_EVENT_TIMEOUT_FACTOR * state.route.latency_target_s,
-        )
-
-    def _event_gap_timeout_s(self, state: RequestState) -> float | None:
-        if not self._has_attempts_to_resume(state):
-            return None
-        return max(
-            MIN_STREAM_TIMEOUT_S,
-            EVENT_GAP_TIMEOUT_FACTOR * state.route.event_interval_target_s,
-        )
-
-    def _has_attempts_to_resume(self, state: RequestState) -> bool:
-        route = state.route
-        return route.is_resumable and state.possible_executions < route.max_attempts
-
 
 def _suspect_ids(state: RequestState, service: Service) -> tuple[str, ...]:
     """Return the inputs that may be the cause if a server crashes now.
--- a/egretshed/relay/request_state.py
+++ b/egretshed/relay/request_state.py
@@ -29,6 +29,8 @@
     A resumable stream with events is bound to `bound_version`; `beginning` tells where
     it began, if that is known. `sent_s` is the time of the last send and
     `sent_wall_ms` the same in Unix time.
+    `has_rerun_stages` tells that stages were run again for a second server, and
+    `silence_outcome` what the last search for one found while the first was silent.
     `silent_s` is how long the server of the last failed attempt had sent nothing, and
     `connection_end` how its connection had ended by then.
     `framing` is that of the last response of a server; `incomplete_event_bytes` counts
@@ -58,6 +60,8 @@
     beginning: StreamBeginning | None = None
     sent_s: float = 0.0
     sent_wall_ms: int = 0
+    has_rerun_stages: bool = False
+    silence_outcome: str = ""
     silent_s: float | None = None
     connection_end: str = ""
     framing: str = ""
--- a/egretshed/retries/shared_budget.py
+++ b/egretshed/retries/shared_budget.py
@@ -35,17 +35,20 @@
 
     def try_acquire(self, service: str) -> bool:
         """Return whether a retry may be sent now; if so, it is counted as sent."""
+        if not self.is_left(service):
+            return False
+        self._retries[service].append(self.env.clock.monotonic_s())
+        return True
+
+    def is_left(self, service: str) -> bool:
+        """Return what `try_acquire` would, without counting a retry."""
         bounds = self.env.settings.bounds
-        now_s = self.env.clock.monotonic_s()
-        window_start_s = now_s - bounds.retry_window_s
+        window_start_s = self.env.clock.monotonic_s() - bounds.retry_window_s
         requests = _count_since(self._requests[service], window_start_s)
         retries = _count_since(self._retries[service], window_start_s)
         slack = bounds.retry_slack / max(1, self.node_count())
         allowed = ALLOWANCE_SHARE * (slack + bounds.retry_share * requests)
-        if retries + 1 > max(1.0, allowed):
-            return False
-        self._retries[service].append(now_s)
-        return True
+        return retries + 1 <= max(1.0, allowed)
 
 
 def _count_since(times_s: deque[float], window_start_s: float) -> int:
