Pass on a server's failure when no retry is left

What callers saw: 502 of the node in place of the 500, with signature and body, of the server. The response was given up since the request could be sent again, and only then the retry budget said no. Change: the budget is asked before the response is given up.

--- a/egretshed/daemon/tests/steps/silence_steps.py
+++ b/egretshed/daemon/tests/steps/silence_steps.py
@@ -43,6 +43,7 @@
     " each service"
 )
 def start_fleet(context, nodes, slack, count):
+    context.spoil_others = None
     context.fleet = Fleet(nodes, count, bounds={"retry_slack": slack})
     run(context, context.fleet.__aenter__())
     context.add_cleanup(lambda: run(context, context.fleet.__aexit__()))
@@ -146,6 +147,13 @@
     context.route, context.responses = route, run(context, send())
 
 
+@then("each is answered {status:d}, with the signature of a server")
+def each_has_status(context, status):
+    for response in context.responses:
+        assert response.code == status, [r.code for r in context.responses]
+        assert response.headers["Replica-Signature"], response.headers
+
+
 @then("each is answered whole")
 def each_is_whole(context):
     statuses = [response.code for response in context.responses]
--- a/egretshed/daemon/tests/uncertain.feature
+++ b/egretshed/daemon/tests/uncertain.feature
@@ -38,3 +38,17 @@
       | /read/x | plain   | 0.2  | the entries of its servers are removed |
       | /ask/x  | engine  | 2.5  | the entries of its servers are removed |
       | /ask/x  | engine  | 2.5  | the store is silent                    |
+
+  # Guards against a server's own answer that is replaced by a failure of the node, since
+  # the request was to be sent again and no retry was left.
+  Scenario Outline: All servers answer 500, <count> of each service, retry slack <slack>
+    Given 3 entry nodes with a retry slack of <slack> and <count> servers of each service
+    And of the servers of "plain", all fail
+    When 30 "read" requests are sent at once
+    Then each is answered 500, with the signature of a server
+
+    Examples:
+      | count | slack |
+      | 3     | 0     |
+      | 1     | 54    |
+      | 3     | 54    |
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -366,6 +366,7 @@
             state.route.is_retryable
             and state.possible_executions < state.route.max_attempts
             and state.remaining_s(now_s) > MIN_RETRY_TIME_S
+            and self.budget.is_left(state.service)
         )
 
     async def _relay_stream(
