Ask again whether a server may get work once the connection is open

What a server sees: a request after it has said that it leaves or wants a pause, or after its domain was evacuated, if that became known while the node connected to it (0.35 s at most). Cause: the permit was asked for when the server was chosen, and not again before the bytes went out. Change: Dispatcher.send and the pool's fetch of stage calls ask ServerRegistry.may_get_chosen_work, which usable_despite_failures uses as well. Such a request has not run and is placed anew.

--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -30,6 +30,7 @@
 from egretshed.relay.dispatch import (
     SERVER_ERROR_STATUS,
     Dispatcher,
+    ServerNotUsable,
 )
 from egretshed.relay.events import EventSplitter
 from egretshed.relay.next_step import (
@@ -263,7 +264,7 @@
                 )
             wait = ServerWait(self.successors, state, service, server)
             await self._relay_response(wait, exchange, start_s, placement)
-        except (ServerRefusedWork, ResultsLost):
+        except (ServerRefusedWork, ServerNotUsable, ResultsLost):
             raise
         except BackendError as failure:
             if exchange is not None:
--- a/egretshed/relay/dispatch.py
+++ b/egretshed/relay/dispatch.py
@@ -1,8 +1,13 @@
-"""Chooses a server for a request, sends it there, and notes refusals."""
+"""Chooses a server for a request, sends it there, and notes refusals.
+
+Load pattern: servers leave, ask for a pause or are evacuated while many requests are
+being placed. What was true when a server was chosen is asked again when the connection
+is open, immediately before the request goes out.
+"""
 
 from egretshed.environment import Environment
 from egretshed.errors import (
-    InputQuarantined,
+    BackendError,
     ServerRefusedWork,
 )
 from egretshed.placement.engines import (
@@ -35,6 +40,13 @@
 # Time for which this node avoids a server that refused a request for lack of capacity.
 REFUSAL_BACKOFF_S = 0.05
 
+
+class ServerNotUsable(BackendError):
+    """A server may not get a request any more for which it had been chosen."""
+
+    code = "server_not_usable"
+
+
 Choice = tuple[ServerState, EnginePlacement | None]
 
 
@@ -90,12 +102,16 @@
     def send(
         self, state: RequestState, server: ServerState, exchange: Exchange
     ) -> None:
-        """Send the request; raise `InputQuarantined`, with nothing sent."""
-        try:
-            self.guard.check(state.service, state.input_ids)
-        except InputQuarantined:
-            exchange.close()
-            raise
+        """Send the request.
+
+        Raises `InputQuarantined` or `ServerNotUsable`, with nothing sent, if that has
+        become so while the server was chosen and connected to.
+        """
+        self.guard.check(state.service, state.input_ids)
+        if not self.servers.may_get_chosen_work(server):
+            raise ServerNotUsable(
+                "the server may not get work any more", may_have_run=False
+            )
         now_s = self.env.clock.monotonic_s()
         fields = ForwardFields(
             server_id=server.server_id,
--- a/egretshed/relay/successor.py
+++ b/egretshed/relay/successor.py
@@ -22,6 +22,7 @@
 from egretshed.relay.dispatch import (
     SERVER_ERROR_STATUS,
     Dispatcher,
+    ServerNotUsable,
 )
 from egretshed.relay.next_step import (
     AttemptHistory,
@@ -178,7 +179,7 @@
         now_s = self.env.clock.monotonic_s()
         if failure.may_have_run:
             server.record_response(False, now_s)
-        elif not isinstance(failure, ServerRefusedWork):
+        elif not isinstance(failure, (ServerRefusedWork, ServerNotUsable)):
             server.record_connection_failure(now_s)
 
     async def _restore_results(self, state: RequestState, service: Service) -> bool:
--- a/egretshed/relay/tests/fuzz_attempts.py
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -221,6 +221,9 @@
     def acquire_send_permit(self, server, rate_per_s):
         return True
 
+    def may_get_chosen_work(self, server):
+        return True
+
     def usable_servers(self, state, service, tried_ids):
         return [s for s in self.servers if s.server_id not in tried_ids]
 
--- a/egretshed/servers/registry.py
+++ b/egretshed/servers/registry.py
@@ -165,11 +165,7 @@
         found = [
             server
             for server in self.of_service(service)
-            if not server.is_gone
-            and server.listed.phase is ServerPhase.READY
-            and not server.is_paused(self.env.clock.monotonic_s())
-            and not self._may_have_left(server)
-            and not self.is_evacuated(server.failure_domain)
+            if self.may_get_chosen_work(server)
         ]
         return self._in_regions(found, regions)
 
@@ -268,6 +264,19 @@
             server.cold_sent_times_s = [*server.cold_sent_times_s[-1:], now_s]
         return allowed
 
+    def may_get_chosen_work(self, server: ServerState) -> bool:
+        """Return whether a server that was chosen for a request may still get it.
+
+        Ask immediately before the bytes go out: opening a connection takes time.
+        """
+        return (
+            not server.is_gone
+            and server.listed.phase is ServerPhase.READY
+            and not server.is_paused(self.env.clock.monotonic_s())
+            and not self._may_have_left(server)
+            and not self.is_evacuated(server.failure_domain)
+        )
+
     def has_send_permit(self, server: ServerState, cold_per_s: float) -> bool:
         """Return what `acquire_send_permit` would, without counting a request."""
         now_s = self.env.clock.monotonic_s()
--- a/egretshed/stage_scheduling/calls.py
+++ b/egretshed/stage_scheduling/calls.py
@@ -84,10 +84,12 @@
     items: list[StageItem],
     expected_s: float,
     on_head: Callable[[ResponseHead], None] | None = None,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> tuple[CallOutcome, list[StageItemResult]]:
     """Call a server; return the outcome and, if it answered, one result per piece.
 
-    `on_head` is called with the head of the response.
+    `on_head` is called with the head of the response, `may_send` before the call is
+    sent.
     """
     request = encode_stage_call(server.server_id, server.address, items)
     timeout_s = expected_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_S
@@ -100,6 +102,7 @@
                 reuse=True,
                 identify=lambda content: known.identify(content, len(items)),
                 on_head=on_head,
+                may_send=may_send,
             )
         if status in OVERLOAD_STATUSES:
             return CallOutcome.FULL, []
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -373,6 +373,7 @@
             lambda head: self.servers.record_signals(
                 server, decode_server_signals(head), now_s
             ),
+            lambda: self.servers.may_get_chosen_work(server),
         )
 
     def _item(self, piece: ChosenPiece, now_s: float) -> StageItem:
--- a/egretshed/upstream/pool.py
+++ b/egretshed/upstream/pool.py
@@ -103,12 +103,14 @@
         timeouts: ResponseTimeouts = ResponseTimeouts(),
         identify: Callable[[bytes], Ownership] | None = None,
         on_head: Callable[[ResponseHead], None] | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         """Return the status and body of the response; raise `ExchangeFailed`.
 
         `identify` tells what a body proves, for servers that do not repeat the id of a
         request. Without either the connection is not kept. `on_head` is called with the
-        head of a response, whatever becomes of its body.
+        head of a response, whatever becomes of its body. `may_send` is asked when the
+        connection is open, before anything is sent.
         """
         request_id = ""
         if reuse and self.id_header:
@@ -118,6 +120,8 @@
         needs_id = identify is None
         exchange = await self.open(address, body_limit_bytes, reuse, needs_id)
         try:
+            if not may_send():
+                raise ExchangeFailed("the call was withdrawn", may_have_run=False)
             exchange.send(request)
             head = await exchange.head(timeouts.head_s)
             if on_head is not None:
--- a/egretshed/upstream/tests/exchange.feature
+++ b/egretshed/upstream/tests/exchange.feature
@@ -38,3 +38,9 @@
       | waits  | none   |
       | closes | closed |
       | resets | reset  |
+
+  # Guards against a call that reaches a server which said meanwhile that it leaves.
+  Scenario: A call is withdrawn while its connection is opened
+    Given a server that sends HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and then waits
+    When a call is made that may not be sent once the connection is open
+    Then it failed and cannot have run
--- a/egretshed/upstream/tests/steps/exchange_steps.py
+++ b/egretshed/upstream/tests/steps/exchange_steps.py
@@ -108,3 +108,22 @@
 def check_end(context, end, least_s):
     assert context.end == end, context.end
     assert context.silent_s >= least_s, context.silent_s
+
+
+@when("a call is made that may not be sent once the connection is open")
+def withdraw_call(context):
+    async def call():
+        pool = ConnectionPool(make_environment(SystemClock()))
+        request = OutgoingRequest("GET", "/", (("Host", "h"),))
+        try:
+            await pool.fetch(
+                context.address, request, BODY_LIMIT_BYTES, may_send=lambda: False
+            )
+        finally:
+            pool.close()
+
+    context.outcome = "sent"
+    try:
+        run(context, call())
+    except ExchangeFailed as error:
+        context.outcome, context.error = "failed", error
