Add tests of what silence still ends, which fail

The search for a second server holds back what the first one has sent, leaves a sound server for one that hangs or refuses late, and gives up a server that has the request for a failure of the first. Results of stages are freed before a silent engine has fetched them, and calls to silent stage servers fail. A request that arrives before the idle limit is dropped, and perhaps handled, if the node stands still across the limit.

--- a/egretshed/daemon/tests/steps/silence_steps.py
+++ b/egretshed/daemon/tests/steps/silence_steps.py
@@ -23,6 +23,8 @@
 DEADLINE_MS = "8000"
 OPTIONS = {"request_timeout": 12.0}
 NODES = 3
+STAGE_SERVICES = ("first", "second")
+SLOW_STAGE_S = 30.0
 
 
 def _servers(context, service):
@@ -43,7 +45,7 @@
     " each service"
 )
 def start_fleet(context, nodes, slack, count):
-    context.spoil_others = None
+    context.spoil_others = context.at_send = None
     context.fleet = Fleet(nodes, count, bounds={"retry_slack": slack})
     run(context, context.fleet.__aenter__())
     context.add_cleanup(lambda: run(context, context.fleet.__aexit__()))
@@ -70,11 +72,25 @@
         context.spoil_others = lambda: [_fill(server) for server in servers]
     elif others == "cannot be reached":
         context.spoil_others = lambda: [_unlist(context, server) for server in servers]
+    elif others == "take no connection":
+        context.spoil_others = lambda: [
+            context.fleet.drop_handshakes(server) for server in servers
+        ]
+    elif others == "hang":
+        context.spoil_others = lambda: [_set_mode(s, "hang") for s in servers]
+    elif others == "refuse late":
+        context.spoil_others = lambda: [_set_mode(s, "full_late") for s in servers]
+    else:
+        assert others in ("may have no retries", "do not exist"), others
 
 
 def _fill(server):
     """Let a server refuse requests that it does not have yet."""
-    server.mode = "full"
+    _set_mode(server, "full")
+
+
+def _set_mode(server, mode):
+    server.mode = mode
 
 
 def _unlist(context, server):
@@ -82,14 +98,51 @@
     context.fleet.stop_listening(server)
 
 
-async def _send(context, route, count):
+@given("the stage servers become slow once the streams have begun")
+def set_slow_stages(context):
+    def slow_down():
+        for server in context.fleet.servers.values():
+            if server.service in STAGE_SERVICES:
+                server.work_s = SLOW_STAGE_S
+
+    context.spoil_others = slow_down
+
+
+@given('the servers of "{service}" are silent for the first {for_s:g} s')
+def set_slow_start(context, service, for_s):
+    """Calls that arrive within this time, from the first request on, take as long."""
+    servers = _servers(context, service)
+    usual_s = servers[0].work_s
+
+    async def go_on():
+        await asyncio.sleep(for_s)
+        for server in servers:
+            server.work_s = usual_s
+
+    for server in servers:
+        server.work_s = for_s
+    context.at_send = go_on
+
+
+@given(
+    'one server of "{service}" answers after {for_s:g} s with {mode}, the others after'
+    " {others_s:g} s"
+)
+def set_failing_server(context, service, for_s, mode, others_s):
+    first, *others = _servers(context, service)
+    first.mode, first.silence = mode, Silence(for_s)
+    for server in others:
+        server.work_s = others_s
+
+
+async def _send(context, route, count, deadline_ms=DEADLINE_MS):
     requests = [
         context.fleet.request(
             f"node-{number % NODES}",
             f"/{route}/x",
             f"{route}-{number}",
             OPTIONS,
-            Deadline_Ms=DEADLINE_MS,
+            Deadline_Ms=deadline_ms,
         )
         for number in range(count)
     ]
@@ -106,8 +159,21 @@
 
 @when('{count:d} "{route}" requests are sent at once')
 def send_at_once(context, count, route):
+    _send_at_once(context, count, route, DEADLINE_MS)
+
+
+@when(
+    '{count:d} "{route}" requests with a deadline of {deadline_s:g} s are sent at once'
+)
+def send_at_once_with_deadline(context, count, route, deadline_s):
+    _send_at_once(context, count, route, str(int(deadline_s * 1000)))
+
+
+def _send_at_once(context, count, route, deadline_ms):
     async def send():
-        sending = asyncio.create_task(_send(context, route, count))
+        sending = asyncio.create_task(_send(context, route, count, deadline_ms))
+        if context.at_send is not None:
+            await context.at_send()
         if context.spoil_others is not None:
             while _running(context, route) < count:
                 await asyncio.sleep(POLL_S)
@@ -168,6 +234,12 @@
             assert numbers == list(range(1, EVENTS + 1)), response.body
 
 
+@then("each took less than {limit_s:g} s")
+def each_took_less(context, limit_s):
+    times_s = sorted(response.request_time for response in context.responses)
+    assert times_s[-1] < limit_s, times_s
+
+
 @then("each is answered whole, and ran once")
 def each_is_whole_and_ran_once(context):
     each_is_whole(context)
--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -18,6 +18,8 @@
 from tornado.netutil import bind_sockets
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from egretshed.ingress.listener import DROP_SYN
+from egretshed.ingress.socket_filter import attach_filter
 from standins.linked_server import LinkedServer
 from standins.ports import free_ports
 from standins.users_platform.servers import (
@@ -219,6 +221,11 @@
         self._http_server_of[id(server)].stop()
         self._reserve_port(server)
 
+    def drop_handshakes(self, server: ServerState) -> None:
+        """Let connections to a server not be established; those that are open stay."""
+        for listener in self._http_server_of[id(server)].listeners:
+            attach_filter(listener, DROP_SYN)
+
     async def silence_links(self, service: str, for_s: float) -> None:
         """Let the links of all servers of a service be silent for a time.
 
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -32,6 +32,7 @@
 # Time from the beginning of a run to the crash that it causes.
 CRASH_AFTER_S = 0.06
 SLOW_EVENT_S = 0.55
+LATE_REFUSAL_S = 0.6
 ENDLESS_CHUNK_BYTES = 16 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -91,6 +92,7 @@
 
     - ``ok``
     - ``full``: responds with 503 and the proof that the request was not run.
+    - ``full_late``: the same, `LATE_REFUSAL_S` after the request arrived.
     - ``error``: runs the request and responds with 500.
     - ``hang``: runs the request and responds only after 60 s.
     - ``cut``: runs the request and closes the connection within the event stream.
@@ -193,7 +195,9 @@
         if state.mode == "other" or expected != state.server_id:
             self.set_status(421)
             return
-        if state.mode == "full":
+        if state.mode in ("full", "full_late"):
+            if state.mode == "full_late":
+                await asyncio.sleep(LATE_REFUSAL_S)
             self.set_status(503)
             self.set_header("Not-Executed", "1")
             return
