Await silent stage servers while no retry is left

Cause: a call was given up at its time limit, and the retry budget was asked afterwards; without a retry the job failed. Change: at its limit a call is given up only if the budget has a retry left; otherwise it is awaited until none of its pieces is needed any more.

--- a/egretshed/stage_scheduling/calls.py
+++ b/egretshed/stage_scheduling/calls.py
@@ -20,9 +20,11 @@
     Ownership,
 )
 
-# A call times out after this multiple of its expected time plus a fixed margin.
+# A call may be given up after this multiple of its expected time plus a fixed margin.
 CALL_TIMEOUT_FACTOR = 4.0
 CALL_TIMEOUT_MARGIN_S = 0.6
+# Interval at which it is asked again whether a silent call may be given up.
+GIVE_UP_PERIOD_S = 0.25
 MAX_RESPONSE_BYTES = 1024 * 1024
 OVERLOAD_STATUSES = frozenset({429, 503})
 # Handles remembered to recognise a second copy of a response; some minutes of calls.
@@ -85,25 +87,35 @@
     expected_s: float,
     on_head: Callable[[ResponseHead], None] | None = None,
     may_send: Callable[[], bool] = lambda: True,
+    may_give_up: Callable[[], bool] = lambda: True,
 ) -> tuple[CallOutcome, list[StageItemResult]]:
     """Call a server; return the outcome and, if it answered, one result per piece.
 
     `on_head` is called with the head of the response, `may_send` before the call is
-    sent.
+    sent. `may_give_up` tells whether the pieces could run elsewhere if the server is
+    silent; if not, it is awaited until no piece is needed any more.
     """
     request = encode_stage_call(server.server_id, server.address, items)
-    timeout_s = expected_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_S
+    limit_s = expected_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_S
+    needed_s = max((item.remaining_s for item in items), default=0.0)
+    fetching = asyncio.ensure_future(
+        pool.fetch(
+            server.address,
+            request,
+            MAX_RESPONSE_BYTES,
+            reuse=True,
+            identify=lambda content: known.identify(content, len(items)),
+            on_head=on_head,
+            may_send=may_send,
+        )
+    )
     try:
-        async with asyncio.timeout(timeout_s):
-            status, body = await pool.fetch(
-                server.address,
-                request,
-                MAX_RESPONSE_BYTES,
-                reuse=True,
-                identify=lambda content: known.identify(content, len(items)),
-                on_head=on_head,
-                may_send=may_send,
-            )
+        async with asyncio.timeout(max(limit_s, needed_s)):
+            while not (await asyncio.wait({fetching}, timeout=limit_s))[0]:
+                if may_give_up():
+                    return CallOutcome.MAY_HAVE_RUN, []
+                limit_s = GIVE_UP_PERIOD_S
+        status, body = fetching.result()
         if status in OVERLOAD_STATUSES:
             return CallOutcome.FULL, []
         if status != 200:
@@ -115,6 +127,8 @@
         if error.may_have_run:
             return CallOutcome.MAY_HAVE_RUN, []
         return CallOutcome.NOT_RUN, []
+    finally:
+        fetching.cancel()
     known.add(results)
     return CallOutcome.ANSWERED, results
 
--- a/egretshed/stage_scheduling/owner.py
+++ b/egretshed/stage_scheduling/owner.py
@@ -374,6 +374,7 @@
                 server, decode_server_signals(head), now_s
             ),
             lambda: self.servers.may_get_chosen_work(server),
+            lambda: self.budget.is_left(server.listed.service),
         )
 
     def _item(self, piece: ChosenPiece, now_s: float) -> StageItem:
