Keep stage results until the engine's host has the request

Cause: results were released 0.05 s after the send, when the request was still on its way. The engine answered that they are gone. Change: the time begins once the engine's host has acknowledged the request (SIOCOUTQ). Ruled out: keeping them until the first event, for which the stage servers have too little memory.

--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -260,7 +260,7 @@
                 self.dispatcher.send(state, server, exchange)
             if state.stage_results:
                 release_task = asyncio.create_task(
-                    self.stages.release_after_fetch(state)
+                    self.stages.release_after_fetch(state, exchange)
                 )
             wait = ServerWait(self.successors, state, service, server)
             await self._relay_response(wait, exchange, start_s, placement)
--- a/egretshed/relay/stages.py
+++ b/egretshed/relay/stages.py
@@ -29,6 +29,7 @@
     sink_results,
     stages_to_await,
 )
+from egretshed.upstream.exchange import Exchange
 
 # Planning of stages reserves this time for the model engine, plus the prefill of the
 # prompt at this rate, which assumes that parts of the prompt are cached.
@@ -79,9 +80,16 @@
         state.results_by_service[service] = kept
         self.client.free(service, handles)
 
-    async def release_after_fetch(self, state: RequestState) -> None:
-        """Release all results after the time that the engine needs to fetch them."""
+    async def release_after_fetch(
+        self, state: RequestState, exchange: Exchange
+    ) -> None:
+        """Release all results after the time that the engine needs to fetch them.
+
+        An engine whose link is silent gets the request later.
+        """
         await self.env.clock.sleep(RESULT_FETCH_S)
+        while not exchange.is_acknowledged():
+            await self.env.clock.sleep(RESULT_FETCH_S)
         self.release_all(state)
 
     def release_all(self, state: RequestState) -> None:
--- a/egretshed/upstream/exchange.py
+++ b/egretshed/upstream/exchange.py
@@ -9,7 +9,10 @@
 
 import asyncio
 import errno
+import fcntl
 import socket
+import struct
+import termios
 import time
 from collections import deque
 from collections.abc import AsyncIterator
@@ -364,6 +367,22 @@
             return ConnectionEnd.RESET
         return ConnectionEnd.CLOSED if self.stream.closed() else ConnectionEnd.NONE
 
+    def is_acknowledged(self) -> bool:
+        """Return whether the other side's kernel has the whole request.
+
+        True as well if this side's kernel cannot tell. See ``tcp(7)``, ``SIOCOUTQ``.
+        """
+        if self.stream.closed():
+            return True
+        if self.stream.writing():
+            return False
+        unacknowledged = bytearray(struct.calcsize("i"))
+        try:
+            fcntl.ioctl(self.stream.socket, termios.TIOCOUTQ, unacknowledged)
+        except OSError:
+            return True
+        return not any(unacknowledged)
+
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another request."""
         head = self._head
