Await the first server while another one is sought

Cause: the search was awaited, not raced with the server; any response of the first server, a failure too, ended what the second one had begun; a request other than a stream was taken over by a server that had not refused it for 0.2 s; and a stream left its server after 1.5 s, as soon as sound servers are silent for. Change: ServerWait awaits both; a failure of the first server waits for the second one. Requests that are no streams stay at both until one responds. Streams with events look for another server after 2.2 s.

--- a/egretshed/daemon/tests/silent_search.feature
+++ b/egretshed/daemon/tests/silent_search.feature
@@ -1,4 +1,3 @@
-@known_red
 Feature: The search for another server does no harm to what a silent server has begun
 
   # Guards against an answer that has arrived and waits until the search for another
@@ -34,6 +33,13 @@
       | digest | engine  | 1.8      | before event 4 | hang         |
       | digest | engine  | 1.8      | before event 4 | refuse late  |
 
+    # A stream may be at two servers for 0.4 s at most, and these show nothing within it.
+    @known_red
+    Examples: silent for longer than sound servers are
+      | route  | service | silent_s | place          | others       |
+      | digest | engine  | 3.0      | before event 4 | hang         |
+      | digest | engine  | 3.0      | before event 4 | refuse late  |
+
   # Guards against a failure of the first server for which a second one, that works on
   # the request, is given up.
   Scenario Outline: The first server ends its silence with <mode>, another one has it
--- a/egretshed/daemon/tests/silent_servers.feature
+++ b/egretshed/daemon/tests/silent_servers.feature
@@ -15,6 +15,11 @@
       | digest | engine  | 1.8      | before event 4 | 1     | 54    | do not exist          |
       | digest | engine  | 1.8      | before event 4 | 3     | 54    | are full              |
       | digest | engine  | 1.8      | before event 4 | 3     | 54    | cannot be reached     |
+      | digest | engine  | 3.0      | before event 4 | 3     | 0     | may have no retries   |
+      | digest | engine  | 3.0      | before event 4 | 3     | 54    | have another version  |
+      | digest | engine  | 3.0      | before event 4 | 1     | 54    | do not exist          |
+      | digest | engine  | 3.0      | before event 4 | 3     | 54    | are full              |
+      | digest | engine  | 3.0      | before event 4 | 3     | 54    | cannot be reached     |
       | digest | engine  | 3.0      | at first       | 3     | 0     | may have no retries   |
       | digest | engine  | 3.0      | at first       | 3     | 54    | are full              |
       | read   | plain   | 1.2      | at first       | 3     | 0     | may have no retries   |
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -62,6 +62,7 @@
     Exchange,
     ExchangeFailed,
     Framing,
+    ResponseHead,
 )
 from egretshed.upstream.pool import ConnectionPool
 
@@ -299,7 +300,7 @@
         limit_s = response_limit_s(
             state.route, state.possible_executions, server.latency_s
         )
-        head = await wait.wait(limit_s, exchange.head())
+        head = await wait.wait(limit_s, exchange.head(), _is_failure)
         response = decode_response_head(head)
         state.framing = exchange.framing
         now_s = self.env.clock.monotonic_s()
@@ -441,6 +442,11 @@
         await state.reply.write(events)
 
 
+def _is_failure(head: ResponseHead) -> bool:
+    """Return whether a response is worse than what another server may send."""
+    return head.status >= SERVER_ERROR_STATUS or head.status in REFUSAL_STATUSES
+
+
 def _suspect_ids(state: RequestState, service: Service) -> tuple[str, ...]:
     """Return the inputs that may be the cause if a server crashes now.
 
--- a/egretshed/relay/server_wait.py
+++ b/egretshed/relay/server_wait.py
@@ -1,7 +1,10 @@
 """Awaits a server, and looks for another one while it is silent."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import (
+    Awaitable,
+    Callable,
+)
 from typing import TypeVar
 
 from egretshed.relay.request_state import RequestState
@@ -34,11 +37,18 @@
         self.server = server
         self._was_silent = False
 
-    async def wait(self, limit_s: float | None, awaitable: Awaitable[T]) -> T:
+    async def wait(
+        self,
+        limit_s: float | None,
+        awaitable: Awaitable[T],
+        is_failure: Callable[[T], bool] = lambda result: False,
+    ) -> T:
         """Return the result of `awaitable`, which the server has to bring about.
 
         If it takes longer than `limit_s`, another server is sought, again and again.
-        Raises `ServerSilent` once one has the request. None is no limit.
+        Raises `ServerSilent` once one has the request, unless the first one has gone on
+        meanwhile; a result for which `is_failure` holds does not count as that. None
+        is no limit.
         """
         if limit_s is None:
             return await awaitable
@@ -46,18 +56,32 @@
         try:
             while not await _is_done_within(waiting, limit_s):
                 self._record_silence()
-                successor = await self.successors.find(
-                    self.state, self.service, self.server
-                )
-                if successor is not None and _has_result(waiting):
-                    self.successors.dismiss(successor)
-                elif successor is not None:
-                    raise ServerSilent(successor)
+                await self._search(waiting, is_failure)
                 limit_s = SEARCH_PERIOD_S
             return waiting.result()
         finally:
             waiting.cancel()
 
+    async def _search(
+        self, waiting: asyncio.Future, is_failure: Callable[[T], bool]
+    ) -> None:
+        """Look for a successor until the server goes on; raise `ServerSilent`."""
+        search = asyncio.create_task(
+            self.successors.find(self.state, self.service, self.server)
+        )
+        is_taken = False
+        try:
+            await asyncio.wait({waiting, search}, return_when=asyncio.FIRST_COMPLETED)
+            if _has_gone_on(waiting, is_failure):
+                return
+            successor = await search
+            if successor is not None:
+                is_taken = True
+                raise ServerSilent(successor)
+        finally:
+            if not is_taken:
+                await self.successors.stop(search)
+
     def _record_silence(self) -> None:
         if not self._was_silent:
             self._was_silent = True
@@ -65,12 +89,14 @@
             self.server.record_response(False, now_s)
 
 
-def _has_result(waiting: asyncio.Future) -> bool:
-    """Return whether the server went on; the end of a body is a result as well."""
+def _has_gone_on(waiting: asyncio.Future, is_failure: Callable[[T], bool]) -> bool:
+    """Return whether the server has; the end of a body counts as that."""
     if not waiting.done():
         return False
-    failure = waiting.exception()
-    return failure is None or isinstance(failure, StopAsyncIteration)
+    error = waiting.exception()
+    if error is not None:
+        return isinstance(error, StopAsyncIteration)
+    return not is_failure(waiting.result())
 
 
 async def _is_done_within(waiting: asyncio.Future, limit_s: float) -> bool:
--- a/egretshed/relay/silence.py
+++ b/egretshed/relay/silence.py
@@ -16,7 +16,10 @@
 # objective, and for each further event this multiple of the route's event pause.
 FIRST_EVENT_LIMIT_FACTOR = 1.3
 EVENT_GAP_LIMIT_FACTOR = 2.5
-MIN_STREAM_LIMIT_S = 0.8
+MIN_FIRST_EVENT_LIMIT_S = 0.8
+# Sound servers are silent for up to 2 s. A stream with such a gap is late anyway, and
+# what a second server makes of it cannot be known in time (`REFUSAL_WAIT_S`).
+MIN_EVENT_GAP_LIMIT_S = 2.2
 
 
 def response_limit_s(
@@ -38,7 +41,9 @@
     """Return the same for the silence before the first event of a stream."""
     if not _may_resume_elsewhere(route, possible_executions):
         return None
-    return max(MIN_STREAM_LIMIT_S, FIRST_EVENT_LIMIT_FACTOR * route.latency_target_s)
+    return max(
+        MIN_FIRST_EVENT_LIMIT_S, FIRST_EVENT_LIMIT_FACTOR * route.latency_target_s
+    )
 
 
 def event_gap_limit_s(route: Route, possible_executions: int) -> float | None:
@@ -46,7 +51,7 @@
     if not _may_resume_elsewhere(route, possible_executions):
         return None
     return max(
-        MIN_STREAM_LIMIT_S, EVENT_GAP_LIMIT_FACTOR * route.event_interval_target_s
+        MIN_EVENT_GAP_LIMIT_S, EVENT_GAP_LIMIT_FACTOR * route.event_interval_target_s
     )
 
 
--- a/egretshed/relay/successor.py
+++ b/egretshed/relay/successor.py
@@ -2,7 +2,8 @@
 
 Load pattern: many servers are silent for a second or so, while the others are full, of
 another software version, or cannot be reached. A request is taken from its server only
-once another one has got it and has not refused it; until then both are awaited.
+once another one has got it and has not refused it, or has responded; until then both
+are awaited.
 """
 
 import asyncio
@@ -39,8 +40,8 @@
     ExchangeFailed,
 )
 
-# Time for which a request that is silent may be at two servers. A server that refuses
-# does so at once, and two must not work on a stream for 0.4 s.
+# Time for which a stream may be at two servers. A server that refuses does so at once,
+# and two must not work on a stream for 0.4 s.
 REFUSAL_WAIT_S = 0.2
 # With less time than this left, stages are not run again.
 MIN_STAGE_RERUN_S = 1.0
@@ -98,10 +99,16 @@
         self._record(state, silent, successor, outcome)
         return successor
 
-    def dismiss(self, successor: Successor) -> None:
-        """Take the request from a successor, since the first server goes on."""
-        successor.exchange.close()
-        self.dispatcher.end_placement(successor.placement)
+    async def stop(self, search: asyncio.Task) -> None:
+        """End a search of which nobody takes the result."""
+        search.cancel()
+        await asyncio.wait({search})
+        if search.cancelled() or search.exception() is not None:
+            return
+        successor = search.result()
+        if successor is not None:
+            successor.exchange.close()
+            self.dispatcher.end_placement(successor.placement)
 
     def _is_allowed(self, state: RequestState) -> bool:
         history = AttemptHistory(
@@ -157,10 +164,12 @@
     ) -> bool:
         """Wait for a refusal or failure; raise `ServerRefusedWork` or `ExchangeFailed`.
 
-        A server that does not respond in time has accepted the request.
+        A stream has been accepted by a server that does not respond in time. Any other
+        request may be at two servers until one of them responds.
         """
+        limit_s = REFUSAL_WAIT_S if state.route.is_stream else None
         try:
-            async with asyncio.timeout(REFUSAL_WAIT_S):
+            async with asyncio.timeout(limit_s):
                 response = decode_response_head(await exchange.head())
         except TimeoutError:
             return True
