Test quarantines that begin while a server is silent, which fail

The fuzz run excused every request that ended with a quarantine; a request that has run at sound servers only must get its response then as well. That holds, and a finder that passes the quarantine on is noticed now. The rows of quarantined_search.feature fail: the placement of a second server raises it outside of what the finder catches.

--- a/egretshed/relay/tests/fuzz_attempts.py
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -339,7 +339,7 @@
         assert not isinstance(failure, NotRun) or not ran, details
         assert failure is None or not reply.is_finished, details
         if ran and all(outcome in SOUND for outcome in ran):
-            assert reply.is_finished or isinstance(failure, InputQuarantined), details
+            assert reply.is_finished, details
         assert not isinstance(failure, BackendError), details
         if failure is None:
             assert reply.is_finished, details
