Bound the searches for second servers, and name the server that answers

Change: searches are 0.5 s apart and need 0.3 s; results are held all or none; the fields of the last send are restored, and server_silent says 'dismissed'.

--- a/egretshed/daemon/tests/silent_search.feature
+++ b/egretshed/daemon/tests/silent_search.feature
@@ -40,6 +40,19 @@
       | digest | engine  | 3.0      | before event 4 | hang         |
       | digest | engine  | 3.0      | before event 4 | refuse late  |
 
+  # Guards against two servers that work on one stream for longer than is allowed.
+  Scenario Outline: Streams leave servers that are silent for 4 s, others <others>
+    Given 3 entry nodes with a retry slack of 500 and 3 servers of each service
+    And the servers of "engine" fall silent for 4 s before event 4
+    And the other servers of "engine" <others>
+    When 30 "digest" requests are sent at once
+    Then at least 20 ran at two servers, none for more than 0.4 s at both
+
+    Examples:
+      | others               |
+      | may have no retries  |
+      | hang                 |
+
   # Guards against a failure of the first server for which a second one, that works on
   # the request, is given up.
   Scenario Outline: The first server ends its silence with <mode>, another one has it
--- a/egretshed/daemon/tests/steps/silence_steps.py
+++ b/egretshed/daemon/tests/steps/silence_steps.py
@@ -275,3 +275,22 @@
             for server in context.fleet.servers.values()
         )
         assert runs == 1, (number, runs)
+
+
+@then("at least {least:d} ran at two servers, none for more than {most_s:g} s at both")
+def left_in_time(context, least, most_s):
+    engines = _servers(context, "engine")
+    overlaps_s = []
+    for number in range(len(context.responses)):
+        request_id = f"{context.route}-{number}"
+        began = sorted(
+            (server.run_began_s[request_id], server.run_left_s.get(request_id))
+            for server in engines
+            if request_id in server.run_began_s
+        )
+        if len(began) > 1:
+            (_, left_s), (second_s, _) = began
+            assert left_s is not None, request_id
+            overlaps_s.append(left_s - second_s)
+    assert len(overlaps_s) >= least, overlaps_s
+    assert max(overlaps_s) <= most_s, overlaps_s
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -122,19 +122,20 @@
                 server, placement = await self._select_server(state, service)
                 exchange = None
             else:
-                server, placement, exchange = successor
+                server, placement, exchange, _ = successor
                 successor = None
             try:
                 await self._run_attempt(state, service, server, placement, exchange)
                 self.crashes.guard.record_completion(service.name, state.input_ids)
                 return
             except ServerSilent as silence:
-                self._report_crash(state, service, server, silence)
+                sent_s = silence.successor.previous.sent_s
+                self._report_crash(state, service, server, silence, sent_s)
                 state.tried_ids.add(server.server_id)
                 self._log_failure(state, server, silence, NextStep.RETRY)
                 successor = silence.successor
             except BackendError as failure:
-                self._report_crash(state, service, server, failure)
+                self._report_crash(state, service, server, failure, state.sent_s)
                 self._handle_failure(state, service, server, failure)
             finally:
                 self.dispatcher.end_placement(placement)
@@ -171,6 +172,7 @@
         service: Service,
         server: ServerState,
         failure: BackendError,
+        sent_s: float,
     ) -> None:
         """Have a server checked that broke a request off, and its crash reported."""
         if not failure.may_have_run:
@@ -181,7 +183,7 @@
             server.server_id,
             server.address,
             _suspect_ids(state, service),
-            state.sent_s,
+            sent_s,
             self.env.clock.monotonic_s(),
         )
         self.crashes.check_server(run)
--- a/egretshed/relay/server_wait.py
+++ b/egretshed/relay/server_wait.py
@@ -36,6 +36,7 @@
         self.service = service
         self.server = server
         self._was_silent = False
+        self._next_search_s = 0.0
 
     async def wait(
         self,
@@ -52,11 +53,15 @@
         """
         if limit_s is None:
             return await awaitable
+        loop = asyncio.get_running_loop()
         waiting = asyncio.ensure_future(awaitable)
         try:
+            # A server may send bytes that make no progress between two searches.
+            limit_s = max(limit_s, self._next_search_s - loop.time())
             while not await _is_done_within(waiting, limit_s):
                 self._record_silence()
                 await self._search(waiting, is_failure)
+                self._next_search_s = loop.time() + SEARCH_PERIOD_S
                 limit_s = SEARCH_PERIOD_S
             return waiting.result()
         finally:
@@ -80,7 +85,7 @@
                 raise ServerSilent(successor)
         finally:
             if not is_taken:
-                await self.successors.stop(search)
+                await self.successors.stop(search, self.state)
 
     def _record_silence(self) -> None:
         if not self._was_silent:
--- a/egretshed/relay/successor.py
+++ b/egretshed/relay/successor.py
@@ -43,16 +43,37 @@
 # Time for which a stream may be at two servers. A server that refuses does so at once,
 # and two must not work on a stream for 0.4 s.
 REFUSAL_WAIT_S = 0.2
+# With less time than this left, no second server is sought.
+MIN_SEARCH_TIME_S = 0.3
 # With less time than this left, stages are not run again.
 MIN_STAGE_RERUN_S = 1.0
 
 
+class SendRecord(NamedTuple):
+    """The fields of `RequestState` on its last send."""
+
+    server_id: str
+    sent_s: float
+    sent_wall_ms: int
+
+    @classmethod
+    def of(cls, state: RequestState) -> "SendRecord":
+        return cls(state.server_id, state.sent_s, state.sent_wall_ms)
+
+    def restore(self, state: RequestState) -> None:
+        state.server_id, state.sent_s, state.sent_wall_ms = self
+
+
 class Successor(NamedTuple):
-    """A server that has been sent the request, and has not refused it."""
+    """A server that has been sent the request, and has not refused it.
+
+    `previous` is the send to the silent server.
+    """
 
     server: ServerState
     placement: EnginePlacement | None
     exchange: Exchange
+    previous: SendRecord
 
 
 class ServerSilent(BackendError):
@@ -96,10 +117,10 @@
             if server is None:
                 break
             excluded_ids.add(server.server_id)
-        self._record(state, silent, successor, outcome)
+        self._record(state, outcome, successor)
         return successor
 
-    async def stop(self, search: asyncio.Task) -> None:
+    async def stop(self, search: asyncio.Task, state: RequestState) -> None:
         """End a search of which nobody takes the result."""
         search.cancel()
         await asyncio.wait({search})
@@ -109,15 +130,20 @@
         if successor is not None:
             successor.exchange.close()
             self.dispatcher.end_placement(successor.placement)
+            successor.previous.restore(state)
+            self._record(state, "dismissed", successor)
 
     def _is_allowed(self, state: RequestState) -> bool:
+        remaining_s = state.remaining_s(self.env.clock.monotonic_s())
+        if remaining_s < MIN_SEARCH_TIME_S:
+            return False
         history = AttemptHistory(
             may_repeat=state.route.is_retryable,
             attempt_may_have_run=True,
             possible_executions=state.possible_executions,
             send_count=state.send_count,
             max_attempts=state.route.max_attempts,
-            remaining_s=state.remaining_s(self.env.clock.monotonic_s()),
+            remaining_s=remaining_s,
             bytes_forwarded=state.reply.is_started,
             can_resume=state.can_resume() and self.may_go_on(state),
         )
@@ -143,7 +169,7 @@
         server, placement = chosen
         exchange = None
         is_kept = False
-        sent_before = state.sent_s, state.sent_wall_ms, state.server_id
+        previous = SendRecord.of(state)
         try:
             exchange = await self.dispatcher.open(state, server)
             if not self.budget.try_acquire(service.name):
@@ -157,11 +183,11 @@
             return None, failure.code, server
         finally:
             if not is_kept:
-                state.sent_s, state.sent_wall_ms, state.server_id = sent_before
+                previous.restore(state)
                 self.dispatcher.end_placement(placement)
                 if exchange is not None:
                     exchange.close()
-        return Successor(server, placement, exchange), "moved", server
+        return Successor(server, placement, exchange, previous), "moved", server
 
     async def _is_accepted(
         self, state: RequestState, server: ServerState, exchange: Exchange
@@ -211,7 +237,7 @@
             return False
         state.has_rerun_stages = True
         try:
-            await self.stages.run(state, service)
+            await self._run_stages(state, service)
         except EgretshedError as error:
             log_event(
                 self.env.logger,
@@ -224,12 +250,16 @@
             return False
         return True
 
+    async def _run_stages(self, state: RequestState, service: Service) -> None:
+        """Run the stages; hold all of their results afterwards, or none."""
+        try:
+            await self.stages.run(state, service)
+        except BaseException:
+            self.stages.release_all(state)
+            raise
+
     def _record(
-        self,
-        state: RequestState,
-        silent: ServerState,
-        successor: Successor | None,
-        outcome: str,
+        self, state: RequestState, outcome: str, successor: Successor | None
     ) -> None:
         """Count a search, and log its outcome if the one before had another."""
         self.env.metrics.counter(
@@ -240,11 +270,12 @@
         if outcome == state.silence_outcome and successor is None:
             return
         state.silence_outcome = outcome
+        silent_id = successor.previous.server_id if successor else state.server_id
         log_event(
             self.env.logger,
             "server_silent",
             request_id=state.request.request_id,
-            server_id=silent.server_id,
+            server_id=silent_id,
             service=state.service,
             has_events=state.attempt_has_events,
             sends=state.send_count,
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -120,6 +120,9 @@
 
     All responses have the headers in `signals`. `arrival_times_s` are monotonic.
 
+    `run_began_s` and `run_left_s` are by request ID: when a run began, and when its
+    connection was closed by the other side.
+
     `run_counts` is by request ID, `piece_run_counts` by (request ID, stage, segment).
     """
 
@@ -136,6 +139,8 @@
     event_s: float = 0.01
     run_counts: Counter = field(default_factory=Counter)
     disconnected: set[str] = field(default_factory=set)
+    run_began_s: dict[str, float] = field(default_factory=dict)
+    run_left_s: dict[str, float] = field(default_factory=dict)
     piece_run_counts: Counter = field(default_factory=Counter)
     results: set[str] = field(default_factory=set)
     seen_headers: dict[str, dict] = field(default_factory=dict)
@@ -206,6 +211,7 @@
             self.set_header("Not-Executed", "1")
             return
         state.run_counts[request_id] += 1
+        state.run_began_s[request_id] = time.monotonic()
         state.seen_headers[request_id] = dict(self.request.headers)
         self.set_header("Replica-Signature", f"sig-{request_id}")
         if self._crashes_server():
@@ -350,7 +356,9 @@
             await asyncio.sleep(pause_s)
 
     def on_connection_close(self) -> None:
-        self.state.disconnected.add(self.request.headers.get("Request-Id", ""))
+        request_id = self.request.headers.get("Request-Id", "")
+        self.state.disconnected.add(request_id)
+        self.state.run_left_s.setdefault(request_id, time.monotonic())
 
 
 class _ReportHandler(_ServerHandler):
