--- a/egretshed/ingress/tests/steps/listener_steps.py
+++ b/egretshed/ingress/tests/steps/listener_steps.py
@@ -4,7 +4,6 @@
 import os
 import socket
 from functools import partial
-from typing import NamedTuple
 
 from behave import (
     given,
@@ -23,18 +22,12 @@
 from egretshed.serving.schema import CallerLimits
 from standins.behave_loop import run
 from standins.http_server import LOOPBACK
+from standins.server_environment import ServerEnvironment
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n"
 ANSWER_LIMIT_S = 5.0
 
 
-class ServerEnvironment(NamedTuple):
-    """The parts of an environment that HTTP servers use."""
-
-    clock: SystemClock
-    logger: logging.Logger
-
-
 class RacedListener(socket.socket):
     """Listener to which a caller connects just after `accept` has found no other."""
 
