--- a/standins/sender.py
+++ b/standins/sender.py
@@ -23,8 +23,11 @@
 async def read_answer(reader: asyncio.StreamReader) -> tuple[str, bool]:
     """Return the status of an answer and whether its connection stays open."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").lower()
-    length = int(head.partition("content-length: ")[2].split("\r\n")[0] or 0)
-    await reader.readexactly(length)
+    if "transfer-encoding: chunked" in head:
+        await reader.readuntil(b"0\r\n\r\n")
+    else:
+        length = int(head.partition("content-length: ")[2].split("\r\n")[0] or 0)
+        await reader.readexactly(length)
     return head.split(" ")[1], "connection: close" not in head
 
 
