Add tests of the own interface whose event loop is blocked, which fail

Cause: the own interface of callers still waits for heads and bodies with tornado's timers, as the entry nodes of the platform did. Its limits do not change while a node runs, so that only the blocked loop applies to it.

--- a/egretshed/ingress/tests/kept_connections.feature
+++ b/egretshed/ingress/tests/kept_connections.feature
@@ -136,3 +136,21 @@
       | kept | nothing          |
       | kept | half of the head |
       | kept | half of the body |
+
+  # Guards against the same in the server of the own interface of callers.
+  @known_red
+  Scenario Outline: The own interface, the rest arrives <when> as its time runs out, <sent> sent
+    Given a server of the own interface with the limits idle 0.4 s and body 0.4 s
+    And a <kind> connection on which <sent> was sent
+    When the rest of the request arrives <when>
+    Then the caller is answered with 200
+
+    Examples:
+      | kind | sent             | when                                    |
+      | new  | nothing          | while the loop is blocked               |
+      | kept | nothing          | while the loop is blocked               |
+      | kept | half of the head | while the loop is blocked               |
+      | kept | half of the body | while the loop is blocked               |
+      | kept | nothing          | after the blocked loop looked for bytes |
+      | kept | half of the head | after the blocked loop looked for bytes |
+      | kept | half of the body | after the blocked loop looked for bytes |
--- a/egretshed/ingress/tests/steps/kept_connections_steps.py
+++ b/egretshed/ingress/tests/steps/kept_connections_steps.py
@@ -9,8 +9,14 @@
     then,
     when,
 )
+from tornado.httputil import (
+    HTTPHeaders,
+    ResponseStartLine,
+)
 from tornado.netutil import bind_sockets
 
+from egretshed.callers.responses import ResponseTracker
+from egretshed.callers.server import CallerServer
 from egretshed.clock import SystemClock
 from egretshed.ingress.server import RequestServer
 from egretshed.platform.http_messages import encode_error_response
@@ -103,6 +109,40 @@
     context.add_cleanup(lambda: run(context, context.server.close()))
 
 
+@given(
+    "a server of the own interface with the limits idle {idle_s:g} s and body"
+    " {body_s:g} s"
+)
+def start_own_server(context, idle_s, body_s):
+    context.handled = []
+    context.head_bytes, context.body = 300, BODY
+
+    def answer(request):
+        context.handled.append((request.path, request.body))
+        head = ResponseStartLine("HTTP/1.1", 200, "OK")
+        fields = HTTPHeaders({"Content-Length": "4"})
+        request.connection.write_headers(head, fields, b"done")
+        request.connection.finish()
+
+    async def start():
+        context.server = CallerServer(
+            answer,
+            ResponseTracker(),
+            idle_connection_timeout=idle_s,
+            body_timeout=body_s,
+        )
+        sockets = bind_sockets(0, LOOPBACK)
+        context.server.add_sockets(sockets)
+        context.address = sockets[0].getsockname()
+
+    async def stop():
+        context.server.stop()
+        await context.server.close_all_connections()
+
+    run(context, start())
+    context.add_cleanup(lambda: run(context, stop()))
+
+
 @given("a {kind} connection on which {sent} was sent")
 def open_connection(context, kind, sent):
     async def connect():
