Count a connection as closed early by the limits at that moment

The step of changed_limits.feature compared the idle time with the limits at the end of a caller's pause. A connection that was closed by the narrow limit, rightly, counted as early if the limit was raised later in the pause. Change: a caller watches its connection during the pause, and judges the end at the moment when it comes. The limits stay narrow or wide for 3 s, longer than nodes allow replaced ones.

--- a/egretshed/daemon/tests/changed_limits.feature
+++ b/egretshed/daemon/tests/changed_limits.feature
@@ -5,7 +5,7 @@
   # the limits in force let their callers reuse them.
   Scenario Outline: <changed> change each 0.1 s beside 36 callers on kept connections
     Given 3 entry nodes and 3 servers of each service
-    When 36 callers send requests for 6 s while <changed> change each 0.1 s
+    When 36 callers send requests for 8 s while <changed> change each 0.1 s
     Then every request got an answer
     And none was answered as if it broke a limit or no route or key existed
     And no connection was closed while its caller could reuse it
--- a/egretshed/daemon/tests/steps/changed_limits_steps.py
+++ b/egretshed/daemon/tests/steps/changed_limits_steps.py
@@ -23,14 +23,14 @@
 
 SEED = 1
 CHANGE_PERIOD_S = 0.1
-# Changes between the wide and the narrow limits.
-LIMITS_PERIOD = 15
+# Changes between the narrow and the wide limits: longer than nodes allow earlier ones.
+LIMITS_PERIOD = 30
 # A caller counts on limits once they are this old; nodes have them by then.
-SETTLED_S = 0.4
+SETTLED_S = 0.8
 REUSED_SHARE = 0.8
 PATHS = ("/book/x", "/read/x", "/ask/x", "/digest/x")
 # The last ones are longer than the narrow idle limit.
-PAUSES_S = (0.01, 0.01, 0.05, 0.1, 0.3, 1.0, 1.9)
+PAUSES_S = (0.01, 0.01, 0.05, 0.1, 0.3, 1.9, 2.9)
 DEADLINE_MS = 4000
 REFUSED = {"400", "401", "403", "404", "408", "413", "431"}
 
@@ -44,8 +44,8 @@
     idle_timeout_ms: int
 
 
-WIDE = Limits(8000, 20000, 2500, 2500)
-NARROW = Limits(1000, 1000, 500, 500)
+WIDE = Limits(8000, 20000, 4000, 4000)
+NARROW = Limits(1000, 1000, 1500, 1500)
 
 
 def _change_limits(configuration, number):
@@ -143,17 +143,24 @@
             connection[1].close()
 
     async def _pause(self, connection) -> bool:
-        """Pause; return whether the connection can be reused after it."""
+        """Pause; return whether the connection can be reused after it.
+
+        It was closed early if its caller could have reused it at that moment.
+        """
         began_s = time.monotonic()
-        await asyncio.sleep(self.random.choice(PAUSES_S))
+        try:
+            async with asyncio.timeout(self.random.choice(PAUSES_S)):
+                await connection[0].read(1)
+        except TimeoutError:
+            return self._is_reusable(time.monotonic() - began_s)
         idle_s = time.monotonic() - began_s
-        limits = self.operator.least_limits()
-        if idle_s > REUSED_SHARE * limits.idle_timeout_ms / 1000:
-            return False
-        if connection[0].at_eof():
+        if self._is_reusable(idle_s):
             self.closed_early.append(idle_s)
-            return False
-        return True
+        return False
+
+    def _is_reusable(self, idle_s: float) -> bool:
+        limit_s = self.operator.least_limits().idle_timeout_ms / 1000
+        return idle_s <= REUSED_SHARE * limit_s
 
     def _encode(self, request_id: str) -> bytes:
         limits = self.operator.least_limits()
