--- a/egretshed/ingress/tests/idle_limit.feature
+++ b/egretshed/ingress/tests/idle_limit.feature
@@ -2,7 +2,6 @@
 
   # Guards against a request that is read, perhaps even passed on, and whose connection
   # is closed, since the node stood still when the limit ran out.
-  @known_red
   Scenario Outline: <part> arrives in time, while the node stands still
     Given a server of callers with an idle limit of 0.5 s
     When a caller sends <part> after 0.35 s, and the node stands still from 0.3 to 0.7 s
