Start only requests that are likely to end before the stop ends them

Cause: a stopping node accepted every request for 0.4 of shutdown_s, whatever it took. A stream that takes longer than the rest, up to 0.9, was cut. A request whose stages hung was held to the end. Ruled out: refusing all from the signal on: callers have the address cached for up to 5 s, and most of their requests take a small part of the time. All are refused from 0.4 on, as before. Refusals of a stopping node carry Retry-After 0.1 in place of 0.5.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -345,14 +345,18 @@
         """Stop gracefully and return the number of requests that were ended early.
 
         The node leaves the membership and ends kept-alive connections with their next
-        response. It accepts requests for some more time, since callers have its address
-        cached, and waits for the running ones up to a share of the shutdown limit.
+        response. For some more time it accepts requests that are likely to end, since
+        callers have its address cached, and waits for the running ones up to a share of
+        the shutdown limit.
         Every request that has arrived is answered before its connection is closed.
         """
         stop_began_s = self.env.clock.monotonic_s()
         self._draining = True
         callers = self.http_servers.get("callers")
         running = len(callers.tasks) if callers else 0
+        drain_s = DRAIN_SHARE * self.settings.bounds.shutdown_s
+        if self.runner is not None:
+            self.runner.begin_stop(stop_began_s + drain_s)
         log_event(self.env.logger, "node_leaving", running=running)
         if self.membership is not None:
             await self.membership.leave()
@@ -379,7 +383,8 @@
     async def _drain(self, callers: RequestServer, stop_began_s: float) -> None:
         """Wait until the node is idle or the running requests must be ended.
 
-        New requests are refused after `ACCEPT_SHARE` of the limit.
+        New requests are refused after `ACCEPT_SHARE` of the limit, and those that wait
+        once they are not likely to end.
         """
         limit_s = self.settings.bounds.shutdown_s
         while not self._is_stop_hastened:
@@ -387,8 +392,10 @@
             elapsed_s = self.env.clock.monotonic_s() - stop_began_s
             if elapsed_s >= limit_s * DRAIN_SHARE:
                 return
-            if elapsed_s >= limit_s * ACCEPT_SHARE and self.runner is not None:
-                self.runner.refusal_reason = STOPPING_REASON
+            if self.runner is not None:
+                self.runner.refuse_late()
+                if elapsed_s >= limit_s * ACCEPT_SHARE:
+                    self.runner.refusal_reason = STOPPING_REASON
             if (
                 elapsed_s >= IDLE_EXIT_DELAY_S
                 and not callers.is_busy()
--- a/egretshed/daemon/tests/planned_stop.feature
+++ b/egretshed/daemon/tests/planned_stop.feature
@@ -78,10 +78,24 @@
       | 2.0    | SIGTERM                | no other change         | 6      | 2       |
       | 2.0    | SIGTERM                | changes of routes       | 6      | 2       |
       | 2.0    | SIGTERM                | a shorter route timeout | 6      | 0       |
+      | 3.5    | SIGTERM                | no other change         | 6      | 0       |
+      | 3.5    | SIGTERM                | no other change         | 0      | 0       |
 
     @known_red
     Examples:
       | last_s | signals                | beside                  | served | streams |
-      | 3.5    | SIGTERM                | no other change         | 6      | 0       |
-      | 3.5    | SIGTERM                | no other change         | 0      | 0       |
       | 2.0    | SIGTERM twice in 0.5 s | no other change         | 6      | 0       |
+
+  # Guards against streams that wait for stages until they are cut or refused at the end.
+  Scenario: Stages hang from the signal on
+    Given 3 entry nodes and 2 servers of each service
+    And streams last 1.0 s after their head
+    And "node-0" has served 6 requests of each route
+    When callers of each route send to "node-0" on new and kept connections until it ends
+    And further callers begin 0.4, 0.8 and 1.2 s after the signal
+    And the stages take 0.8 s each from now on
+    And "node-0" is stopped by SIGTERM beside no other change
+    Then each request that was read got a whole answer or a true refusal
+    And no request that was sent after the signal was cut
+    And each refused one was refused by 2.6 s after the signal, or within 0.3 s
+    And at least 0 streams and 20 others sent after the signal were answered
--- a/egretshed/daemon/tests/steps/planned_stop_steps.py
+++ b/egretshed/daemon/tests/steps/planned_stop_steps.py
@@ -212,6 +212,13 @@
     context.senders += [sender for _, sender in context.further]
 
 
+@when("the stages take {work_s:g} s each from now on")
+def slow_stages(context, work_s):
+    for server in context.fleet.servers.values():
+        if server.kind == "stage":
+            server.work_s = work_s
+
+
 async def _run_later(delay_s, sender):
     await asyncio.sleep(delay_s)
     await sender.run()
@@ -335,3 +342,18 @@
     ]
     assert whole.count(True) >= streams, whole.count(True)
     assert whole.count(False) >= others, whole.count(False)
+
+
+@then(
+    "each refused one was refused by {end_s:g} s after the signal, or within"
+    " {within_s:g} s"
+)
+def refused_early(context, end_s, within_s):
+    held = [
+        _describe(context, sent)
+        for sent in _sent(context)
+        if sent.outcome == "503"
+        and sent.ended_s - context.signal_s > end_s
+        and sent.ended_s - sent.sent_s > within_s
+    ]
+    assert not held, held
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -36,7 +36,16 @@
     RequestState,
     effective_deadline_s,
 )
-from egretshed.relay.stages import StageRunner
+from egretshed.relay.stages import (
+    StageRunner,
+    output_s,
+)
+from egretshed.relay.stop_admission import (
+    ObservedRequest,
+    RecentRequests,
+    RequestOutlook,
+    may_start,
+)
 from egretshed.relay.stream_resumption import StreamResumption
 from egretshed.retries.shared_budget import SharedRetryBudget
 from egretshed.serving.matching import (
@@ -50,6 +59,8 @@
 RETRY_AFTER_S = 0.3
 NOT_READY_RETRY_AFTER_S = 0.5
 STOPPING_REASON = "node_stopping"
+# Retry-After of requests that a stopping node refuses: other nodes serve them at once.
+STOP_RETRY_AFTER_S = 0.1
 # Results that expired, or whose server has left, can be produced again.
 LOST_RESULT_REASONS = frozenset({PieceFailure.INPUT_GONE.value, "results_gone"})
 # With less time than this left, the stages are not run again.
@@ -60,7 +71,8 @@
     """Serves requests of callers.
 
     `table` returns the route table in force, or None before there is a configuration.
-    While `refusal_reason` is set, all new requests are refused with that reason.
+    While `refusal_reason` is set, all new requests are refused with that reason. After
+    `begin_stop`, those that are not likely to end in time are.
     """
 
     def __init__(
@@ -81,8 +93,9 @@
         self.attempts = attempts
         self.budget = budget
         self.refusal_reason = ""
-        self._serving: set[asyncio.Task] = set()
-        self._is_ending = False
+        self.recent = RecentRequests()
+        self._serving: dict[asyncio.Task, RequestState] = {}
+        self._end_at_s: float | None = None
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
         """Serve one request; it ends with exactly one response or an aborted reply."""
@@ -110,11 +123,17 @@
             self._record_outcome(request, state, reply)
 
     def _accept(self, request: CallerRequest, reply: Reply) -> RequestState:
+        if self.refusal_reason:
+            raise NotRun(
+                "this node stops",
+                reason=self.refusal_reason,
+                retry_after_s=STOP_RETRY_AFTER_S,
+            )
         table = self.table()
-        if table is None or self.refusal_reason:
+        if table is None:
             raise NotRun(
                 "this node does not serve requests now",
-                reason=self.refusal_reason or "no_configuration",
+                reason="no_configuration",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
         route = table.match(request.host, request.target)
@@ -146,8 +165,8 @@
     async def _serve_until_disconnect(self, state: RequestState) -> None:
         """Serve until done, the deadline passes or the caller disconnects."""
         serving = asyncio.create_task(self._serve_with_deadline(state))
-        self._serving.add(serving)
-        serving.add_done_callback(self._serving.discard)
+        self._serving[serving] = state
+        serving.add_done_callback(self._serving.pop)
         disconnected = asyncio.create_task(state.reply.disconnected.wait())
         try:
             await asyncio.wait(
@@ -155,7 +174,7 @@
             )
             if not serving.done():
                 raise CallerGone()
-            if serving.cancelled() and self._is_ending:
+            if serving.cancelled() and self._end_at_s is not None:
                 raise self._stop_error(state)
             serving.result()
         finally:
@@ -164,6 +183,49 @@
                 serving.cancel()
                 await asyncio.wait({serving})
 
+    def begin_stop(self, end_at_s: float) -> None:
+        """Refuse requests that are not likely to end until `end_at_s`."""
+        self._end_at_s = end_at_s
+
+    def refuse_late(self) -> None:
+        """Refuse requests that still wait and are not likely to end any more."""
+        for serving, state in self._serving.items():
+            if not self._can_end_before_stop(state, has_waited=True):
+                serving.cancel()
+
+    def _can_end_before_stop(self, state: RequestState, has_waited: bool) -> bool:
+        """Return whether the request is likely to end before a stop ends it.
+
+        Only one that was not sent yet may be refused. With `has_waited` it is counted
+        from its send, otherwise from its arrival.
+        """
+        if self._end_at_s is None or state.may_have_run:
+            return True
+        now_s = self.env.clock.monotonic_s()
+        route = state.route
+        observed = self.recent.of_route(route.name, now_s)
+        others = [
+            s
+            for s in self._serving.values()
+            if s is not state and s.route.name == route.name
+        ]
+        if has_waited:
+            observed_s = tuple(o.run_s for o in observed)
+            began_s = [s.sent_s for s in others if s.may_have_run]
+        else:
+            observed_s = tuple(o.whole_s for o in observed)
+            began_s = [s.request.received_s for s in others]
+        outlook = RequestOutlook(
+            deadline_left_s=state.remaining_s(now_s),
+            observed_s=observed_s,
+            oldest_running_s=now_s - min(began_s, default=now_s),
+            latency_target_s=route.latency_target_s,
+            output_s=output_s(state),
+            is_stream=route.is_stream,
+            can_be_repeated=route.is_retryable,
+        )
+        return may_start(outlook, self._end_at_s - now_s)
+
     def end_running(self) -> int:
         """End all running requests with a final answer; return their number.
 
@@ -171,18 +233,15 @@
         a stream that has begun is cut.
         """
         self.refusal_reason = self.refusal_reason or STOPPING_REASON
-        self._is_ending = True
         for serving in self._serving:
             serving.cancel()
         return len(self._serving)
 
     def _stop_error(self, state: RequestState) -> EgretshedError:
-        message = "this node has stopped"
+        message = "this node stops"
         if state.may_have_run:
             return RequestFailed(message, reason=STOPPING_REASON)
-        return NotRun(
-            message, reason=STOPPING_REASON, retry_after_s=NOT_READY_RETRY_AFTER_S
-        )
+        return NotRun(message, reason=STOPPING_REASON, retry_after_s=STOP_RETRY_AFTER_S)
 
     async def _serve_with_deadline(self, state: RequestState) -> None:
         remaining_s = state.remaining_s(self.env.clock.monotonic_s())
@@ -199,6 +258,8 @@
             self.stages.release_all(state)
 
     async def _serve(self, state: RequestState) -> None:
+        if not self._can_end_before_stop(state, has_waited=False):
+            raise self._stop_error(state)
         await self.resumption.bind_resumed(state)
         service = self._service(state)
         self.budget.record_request(service.name)
@@ -323,6 +384,9 @@
                 configuration_version=table.configuration.version if table else None,
             )
             return
+        if outcome == "answered":
+            run_s = now_s - state.sent_s if state.send_count else took_s
+            self.recent.add(route, ObservedRequest(now_s, took_s, run_s))
         log_event(
             self.env.logger,
             "request_finished",
--- a/egretshed/relay/stages.py
+++ b/egretshed/relay/stages.py
@@ -179,7 +179,7 @@
         inputs = StageInputs(
             deadline_at_s=state.deadline_at_s
             - first_event_s
-            - _output_s(state)
+            - output_s(state)
             - rest_s,
             target_at_s=state.target_at_s - first_event_s - rest_s,
             needs=tuple(p for p in self.plans if p.index not in self.results),
@@ -221,7 +221,7 @@
     return ENGINE_OVERHEAD_S + tokens / PROMPT_TOKENS_PER_S
 
 
-def _output_s(state: RequestState) -> float:
+def output_s(state: RequestState) -> float:
     """Return the expected time from the first event to the last."""
     prompt = state.request.prompt
     tokens = prompt.output_tokens if prompt is not None else 0
