Let answers that can't be made up for run to the end of a stop

Cause: a second signal ended every running request at once. A stream that had begun was cut 0.5 s after the signal while its server was at work: the users' rule excuses that only in the last sixth of the time. At 0.9 of the time bookings were answered 502 and streams cut, 0.1 of the time before SIGKILL. Ruled out: DRAIN_SHARE too early for the rule. 0.9 is behind five sixths (3.6 s of 4, 7.2 s of 8). Change: answers that have begun, and requests that may have run and must not be repeated, run until 0.3 s before shutdown_s. The others end at 0.9, as before. A second signal still refuses and ends at once whatever can be told its end; it ends bookings with 502, but no longer an answer that has begun. The flush has 0.1 s in place of up to 0.3 s; the last answers are made 0.2 s before the limit at the latest. Tests: none removed or weakened. A node whose streams hang stays until 0.3 s before shutdown_s after a second signal too.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -4,6 +4,9 @@
 them in order.
 """
 
+import asyncio
+from collections.abc import Callable
+
 from tornado.netutil import bind_sockets
 
 from egretshed.daemon.environment import make_environment
@@ -41,6 +44,7 @@
 from egretshed.quarantine.crash_reports import CrashReporter
 from egretshed.quarantine.guard import InputGuard
 from egretshed.relay.attempt import AttemptRunner
+from egretshed.relay.request_state import RequestState
 from egretshed.relay.restart_check import RestartCheck
 from egretshed.relay.runner import (
     STOPPING_REASON,
@@ -71,8 +75,14 @@
 # Share of the shutdown limit for which a stopping node accepts new requests, since
 # callers still have its address cached.
 ACCEPT_SHARE = 0.4
-# Share of the shutdown limit after which the running requests are ended.
+# Share of the shutdown limit after which the running requests are ended whose callers
+# can repeat them or get an answer.
 DRAIN_SHARE = 0.9
+# The others are ended this long before the shutdown limit, which SIGKILL follows. What
+# comes after them, the flush and the close, takes about 0.1 s.
+STOP_MARGIN_S = 0.3
+# Upper limit of the time for the last answers to be made, and to be written.
+LAST_ANSWERS_LIMIT_S = 0.1
 # Share of the shutdown limit for which requests that are already on their way are
 # answered after the listener was closed, and upper limit of that time.
 LAST_REQUESTS_SHARE = 0.04
@@ -235,7 +245,7 @@
         if not self.server_table.is_connected:
             return True
         regained_s = self.server_table.regained_s
-        now_s = self.env.clock.monotonic_s()
+        now_s = self._now_s()
         return regained_s is not None and now_s - regained_s < STORE_RECOVERY_GRACE_S
 
     def _apply_server_rows(self, rows, is_whole: bool) -> None:
@@ -347,10 +357,11 @@
         The node leaves the membership and ends kept-alive connections with their next
         response. For some more time it accepts requests that are likely to end, since
         callers have its address cached, and waits for the running ones up to a share of
-        the shutdown limit.
+        the shutdown limit, or nearly all of it where a caller could not make up for the
+        end.
         Every request that has arrived is answered before its connection is closed.
         """
-        stop_began_s = self.env.clock.monotonic_s()
+        stop_began_s = self._now_s()
         self._draining = True
         callers = self.http_servers.get("callers")
         running = len(callers.tasks) if callers else 0
@@ -364,7 +375,7 @@
         if callers is not None:
             callers.disable_keep_alive()
             await self._drain(callers, stop_began_s)
-            ended_count = await self._answer_last_requests(callers)
+            ended_count = await self._answer_last_requests(callers, stop_began_s)
         for server in self.http_servers.values():
             await server.close()
         await self.close()
@@ -377,7 +388,11 @@
         return ended_count
 
     def hasten_stop(self) -> None:
-        """End the running requests of a stop that has begun, instead of waiting."""
+        """End the running requests of a stop that has begun, instead of waiting.
+
+        Answers that have begun go on until the time of the stop is over: they cannot be
+        ended with an answer.
+        """
         self._is_stop_hastened = True
 
     async def _drain(self, callers: RequestServer, stop_began_s: float) -> None:
@@ -389,7 +404,7 @@
         limit_s = self.settings.bounds.shutdown_s
         while not self._is_stop_hastened:
             await self.env.clock.sleep(DRAIN_POLL_PERIOD_S)
-            elapsed_s = self.env.clock.monotonic_s() - stop_began_s
+            elapsed_s = self._now_s() - stop_began_s
             if elapsed_s >= limit_s * DRAIN_SHARE:
                 return
             if self.runner is not None:
@@ -403,22 +418,47 @@
             ):
                 return
 
-    async def _answer_last_requests(self, callers: RequestServer) -> int:
+    async def _answer_last_requests(
+        self, callers: RequestServer, stop_began_s: float
+    ) -> int:
         """Answer what runs and what is on its way; return the number of ended requests.
 
         The listener is closed first, and the open connections are served a little
-        longer: their callers may have sent a request just before.
+        longer: their callers may have sent a request just before. Spared requests run
+        until shortly before the shutdown limit.
         """
-        ended_count = self.runner.end_running() if self.runner is not None else 0
+        limit_s = self.settings.bounds.shutdown_s
+        ended_count = self._end_running(self._is_spared)
         await callers.stop_listening()
-        limit_s = min(
-            LAST_REQUESTS_LIMIT_S,
-            LAST_REQUESTS_SHARE * self.settings.bounds.shutdown_s,
+        await self.env.clock.sleep(
+            min(LAST_REQUESTS_LIMIT_S, LAST_REQUESTS_SHARE * limit_s)
         )
-        await self.env.clock.sleep(limit_s)
-        await callers.flush(limit_s)
+        end_at_s = stop_began_s + max(DRAIN_SHARE * limit_s, limit_s - STOP_MARGIN_S)
+        while callers.tasks and (left_s := end_at_s - self._now_s()) > 0:
+            await self.env.clock.sleep(min(left_s, DRAIN_POLL_PERIOD_S))
+        ended_count += self._end_running(lambda state: False)
+        if callers.tasks:
+            await asyncio.wait(callers.tasks, timeout=LAST_ANSWERS_LIMIT_S)
+        await callers.flush(LAST_ANSWERS_LIMIT_S)
         return ended_count
 
+    def _now_s(self) -> float:
+        return self.env.clock.monotonic_s()
+
+    def _end_running(self, is_spared: Callable[[RequestState], bool]) -> int:
+        return self.runner.end_running(is_spared) if self.runner is not None else 0
+
+    def _is_spared(self, state: RequestState) -> bool:
+        """Return whether a request runs on although the others are ended.
+
+        The caller of a cut answer, or of a request that may have run and must not be
+        repeated, can do nothing about it. A second signal ends the latter, with 502.
+        """
+        if state.reply.is_started:
+            return True
+        is_unrepeatable = state.may_have_run and not state.route.is_retryable
+        return is_unrepeatable and not self._is_stop_hastened
+
     def _has_stage_jobs(self) -> bool:
         return bool(self.stage_owner.has_work())
 
--- a/egretshed/daemon/tests/planned_stop.feature
+++ b/egretshed/daemon/tests/planned_stop.feature
@@ -51,11 +51,28 @@
     And of the servers of "plain", all hang
     When request "r1" to <path> is on its way and "node-0" gets <signals>
     Then the caller receives status <status> within its deadline
+    And it had the answer <early> s before the limit of the stop, and the node ended
 
     Examples:
-      | path    | signals                | status |
-      | /book/x | SIGTERM                | 502    |
-      | /book/x | SIGTERM twice in 0.5 s | 502    |
+      | path    | signals                | status | early |
+      | /book/x | SIGTERM                | 502    | 0.1   |
+      | /read/x | SIGTERM                | 502    | 0.3   |
+      | /book/x | SIGTERM twice in 0.5 s | 502    | 3.0   |
+
+  # Guards against an answer that is cut or given up although its server ends in time.
+  Scenario Outline: A request to <path> ends <end_s> s after the signal, of 8 s
+    Given 3 entry nodes with a shutdown limit of 8 s and routes of 10 s
+    When request "r1" to <path> ends <end_s> s after "node-0" gets <signals>
+    Then the caller receives status <status> within its deadline
+    And it had the answer <early> s before the limit of the stop, and the node ended
+
+    Examples:
+      | path    | end_s | signals                | status | early |
+      | /book/x | 7.45  | SIGTERM                | 200    | 0.3   |
+      | /ask/x  | 7.45  | SIGTERM                | 200    | 0.3   |
+      | /read/x | 7.45  | SIGTERM                | 502    | 0.5   |
+      | /ask/x  | 20    | SIGTERM                | 599    | 0.1   |
+      | /ask/x  | 2     | SIGTERM twice in 0.5 s | 200    | 5.0   |
 
   # Guards against a stream that is accepted during a stop, although it takes longer than
   # the time that is left, and is cut; against one that a second signal cuts; and against
@@ -80,10 +97,6 @@
       | 2.0    | SIGTERM                | a shorter route timeout | 6      | 0       |
       | 3.5    | SIGTERM                | no other change         | 6      | 0       |
       | 3.5    | SIGTERM                | no other change         | 0      | 0       |
-
-    @known_red
-    Examples:
-      | last_s | signals                | beside                  | served | streams |
       | 2.0    | SIGTERM twice in 0.5 s | no other change         | 6      | 0       |
 
   # Guards against streams that wait for stages until they are cut or refused at the end.
--- a/egretshed/daemon/tests/steps/planned_stop_steps.py
+++ b/egretshed/daemon/tests/steps/planned_stop_steps.py
@@ -17,6 +17,7 @@
 )
 from standins.users_platform.fleet import (
     HOST,
+    Fleet,
     make_platform_configuration,
 )
 from standins.users_platform.store import OPERATOR_TABLE
@@ -30,6 +31,10 @@
 WARM_UP_DEADLINE_MS = "5000"
 FURTHER_CALLERS_S = (0.4, 0.8, 1.2)
 CONFIGURATION_PERIOD_S = 0.2
+# An exit took 0.2 s longer once at a load average of 18 on 8 processors.
+LOAD_MARGIN_S = 0.25
+# Until all nodes have applied a configuration.
+CONFIGURATION_DELAY_S = 0.6
 SHORTER_TIMEOUT_S = 1.5
 # The exemption of the users' rule for requests that a stop cuts.
 LAST_SHARE = 5 / 6
@@ -70,6 +75,7 @@
         await asyncio.sleep(SECOND_SIGNAL_DELAY_S)
         process.send_signal(signal.SIGTERM)
     context.exit_status = await process.wait()
+    context.exit_s = time.monotonic() - context.signal_s
 
 
 @when('"node-0" gets {signals}')
@@ -144,11 +150,56 @@
     assert context.outcome == status, context.outcome
 
 
+def _note_answer(context):
+    context.answered_s = time.monotonic()
+
+
 @when('request "{request_id}" to {path} is on its way and "node-0" gets {signals}')
 def stop_with_request(context, request_id, path, signals):
     async def send_and_stop():
         request = context.fleet.request(NODE, path, request_id, Deadline_Ms="5000")
         sending = asyncio.create_task(request)
+        sending.add_done_callback(lambda _: _note_answer(context))
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        await _stop(context, signals)
+        context.response = await sending
+
+    run(context, send_and_stop())
+
+
+@given("3 entry nodes with a shutdown limit of {limit_s:g} s and routes of 10 s")
+def start_fleet_with_limit(context, limit_s):
+    async def start():
+        context.fleet = Fleet(bounds={"shutdown_s": limit_s})
+        await context.fleet.__aenter__()
+        configuration = make_platform_configuration(version=2)
+        for route in configuration["routes"]:
+            route["timeout_ms"] = 10_000
+        context.fleet.store.put_json(OPERATOR_TABLE, "config", configuration)
+        await asyncio.sleep(CONFIGURATION_DELAY_S)
+
+    run(context, start())
+    context.add_cleanup(lambda: run(context, context.fleet.__aexit__()))
+
+
+@when('request "{request_id}" to {path} ends {end_s:g} s after "node-0" gets {signals}')
+def stop_with_late_request(context, request_id, path, end_s, signals):
+    last_s = BEFORE_SIGNAL_S + end_s
+    for server in context.fleet.servers.values():
+        if server.kind == "plain":
+            server.work_s = last_s
+        elif server.kind == "engine":
+            server.events = STREAM_EVENTS
+            server.event_s = last_s / STREAM_EVENTS
+
+    async def send():
+        return await context.fleet.request(
+            NODE, path, request_id, {"request_timeout": 12.0}, Deadline_Ms="10000"
+        )
+
+    async def send_and_stop():
+        sending = asyncio.create_task(send())
+        sending.add_done_callback(lambda _: _note_answer(context))
         await asyncio.sleep(BEFORE_SIGNAL_S)
         await _stop(context, signals)
         context.response = await sending
@@ -156,6 +207,16 @@
     run(context, send_and_stop())
 
 
+@then(
+    "it had the answer {early_s:g} s before the limit of the stop, and the node ended"
+)
+def answered_before_limit(context, early_s):
+    limit_s = context.fleet.bounds["shutdown_s"]
+    answered_s = context.answered_s - context.signal_s
+    assert answered_s <= limit_s - early_s, answered_s
+    assert context.exit_s < limit_s + LOAD_MARGIN_S, context.exit_s
+
+
 @given("streams last {last_s:g} s after their head")
 def set_stream_time(context, last_s):
     for server in context.fleet.servers.values():
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -226,16 +226,17 @@
         )
         return may_start(outlook, self._end_at_s - now_s)
 
-    def end_running(self) -> int:
-        """End all running requests with a final answer; return their number.
+    def end_running(self, is_spared: Callable[[RequestState], bool]) -> int:
+        """End running requests that are not spared, and return their number.
 
         Further requests are refused. A request that may have run is answered as failed;
         a stream that has begun is cut.
         """
         self.refusal_reason = self.refusal_reason or STOPPING_REASON
-        for serving in self._serving:
+        ended = [task for task, s in self._serving.items() if not is_spared(s)]
+        for serving in ended:
             serving.cancel()
-        return len(self._serving)
+        return len(ended)
 
     def _stop_error(self, state: RequestState) -> EgretshedError:
         message = "this node stops"
