Keep a node without reloadable settings running on SIGHUP

The handler of SIGHUP was only installed for nodes that can reload their settings. A node of the own interface ended at once, without answers. Ruled out: entry nodes, which install the handler before they start. Change: the handler is installed for every node. Rows for a stop while an entry node starts.

--- a/egretshed/daemon/main.py
+++ b/egretshed/daemon/main.py
@@ -150,10 +150,11 @@
     The file is read once every `SETTINGS_POLL_PERIOD_S` and on SIGHUP. Invalid settings
     are logged, and the current ones stay in use.
     """
-    if path is None or not hasattr(node, "reload"):
-        return
     reload_signal = asyncio.Event()
+    # Without a handler SIGHUP ends the process, and cuts its requests.
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload_signal.set)
+    if path is None or not hasattr(node, "reload"):
+        return
     last_content = _read_content(path)
     while True:
         try:
--- a/egretshed/daemon/tests/planned_stop.feature
+++ b/egretshed/daemon/tests/planned_stop.feature
@@ -112,3 +112,19 @@
     And no request that was sent after the signal was cut
     And each refused one was refused by 2.6 s after the signal, or within 0.3 s
     And at least 0 streams and 20 others sent after the signal were answered
+
+  # Guards against requests that are cut or dropped when a node is stopped while it starts.
+  Scenario Outline: A node is stopped <delay_s> s after it began to listen
+    Given 3 entry nodes and 2 servers of each service
+    And streams last 0.5 s after their head
+    And "node-0" was killed and is started again
+    When callers of each route send to "node-0" once it listens
+    And "node-0" is stopped <delay_s> s later
+    Then each request that was read got a whole answer or a true refusal
+    And no request was cut
+
+    Examples:
+      | delay_s |
+      | 0.0     |
+      | 0.05    |
+      | 0.3     |
--- a/egretshed/daemon/tests/shutdown.feature
+++ b/egretshed/daemon/tests/shutdown.feature
@@ -69,3 +69,9 @@
     Then a submission to it is answered with "not_run" and a retry-after time
     And a resubmission to it is answered with "unknown" and a retry-after time
     And no backend server received a call of either
+
+  # Guards against a signal without a handler, which ends the process and cuts its requests.
+  Scenario: A process that cannot reload its settings gets SIGHUP
+    Given a process of a node whose platform does not answer
+    When it gets SIGHUP
+    Then it still runs 0.4 s later
--- a/egretshed/daemon/tests/steps/planned_stop_steps.py
+++ b/egretshed/daemon/tests/steps/planned_stop_steps.py
@@ -418,3 +418,54 @@
         and sent.ended_s - sent.sent_s > within_s
     ]
     assert not held, held
+
+
+@given('"node-0" was killed and is started again')
+def restart_node(context):
+    async def restart():
+        await context.fleet.stop_node(NODE, signal.SIGKILL)
+        await context.fleet.start_node(NODE)
+
+    run(context, restart())
+
+
+async def _wait_until_listening(port):
+    while True:
+        try:
+            _, writer = await asyncio.open_connection(HOST, port)
+        except ConnectionError:
+            await asyncio.sleep(0.005)
+            continue
+        writer.close()
+        return
+
+
+@when('callers of each route send to "node-0" once it listens')
+def send_once_listening(context):
+    context.senders = [
+        _make_sender(context, path, f"{path[1:-2]}-new", False) for path in PATHS
+    ]
+
+    async def start():
+        await _wait_until_listening(context.fleet.ports[NODE][0])
+        context.sending = [asyncio.create_task(s.run()) for s in context.senders]
+
+    run(context, start())
+
+
+@when('"node-0" is stopped {delay_s:g} s later')
+def stop_later(context, delay_s):
+    context.beside = "no other change"
+
+    async def stop():
+        await asyncio.sleep(delay_s)
+        await _stop(context, "SIGTERM")
+        await asyncio.gather(*context.sending)
+
+    run(context, stop())
+
+
+@then("no request was cut")
+def none_is_cut(context):
+    cut = [_describe(context, sent) for sent in _cut(context)]
+    assert not cut, cut
--- a/egretshed/daemon/tests/steps/shutdown_steps.py
+++ b/egretshed/daemon/tests/steps/shutdown_steps.py
@@ -1,6 +1,10 @@
 import asyncio
 import json
+import signal
+import sys
+import tempfile
 import time
+from pathlib import Path
 
 from behave import (
     given,
@@ -20,6 +24,7 @@
 DETECTION_MARGIN_S = 1.0
 CUSTOMER = "val-david"
 SLOW_READ_S = 0.15
+START_LIMIT_S = 20.0
 
 
 @given("two running nodes")
@@ -186,3 +191,62 @@
 @then("no backend server received a call of either")
 def no_backend_calls(context):
     assert context.system.backend_calls() == []
+
+
+async def start_process(context):
+    """Start a daemon, and return once it has asked its platform."""
+    asked = asyncio.Event()
+    context.connections = []
+
+    def accept(reader, writer):
+        context.connections.append(writer)
+        asked.set()
+
+    context.platform = await asyncio.start_server(accept, "127.0.0.1")
+    port = context.platform.sockets[0].getsockname()[1]
+    settings = {
+        "node": {"node_id": "n-1", "failure_domain": "a", "region": "r"},
+        "platform": {"url": f"http://127.0.0.1:{port}", "call_timeout_s": 5.0},
+        "peers": {"keys": ["key"]},
+        "failure_domain_regions": {"a": "r"},
+    }
+    file = Path(context.folder.name) / "settings.json"
+    file.write_text(json.dumps(settings))
+    context.process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "egretshed.daemon",
+        "--settings",
+        str(file),
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    await asyncio.wait_for(asked.wait(), START_LIMIT_S)
+
+
+async def end_process(context):
+    if context.process.returncode is None:
+        context.process.kill()
+    await context.process.wait()
+    for connection in context.connections:
+        connection.close()
+    context.platform.close()
+    await asyncio.sleep(0)  # Until the connections are closed.
+
+
+@given("a process of a node whose platform does not answer")
+def process_runs(context):
+    context.folder = tempfile.TemporaryDirectory(prefix="egretshed-")
+    context.add_cleanup(context.folder.cleanup)
+    run(context, start_process(context))
+    context.add_cleanup(lambda: run(context, end_process(context)))
+
+
+@when("it gets SIGHUP")
+def send_hangup(context):
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("it still runs {delay_s:g} s later")
+def still_runs(context, delay_s):
+    run(context, asyncio.sleep(delay_s))
+    assert context.process.returncode is None, context.process.returncode
