--- a/egretshed/daemon/tests/steps/silence_steps.py
+++ b/egretshed/daemon/tests/steps/silence_steps.py
@@ -284,7 +284,7 @@
     for number in range(len(context.responses)):
         request_id = f"{context.route}-{number}"
         began = sorted(
-            (server.run_began_s[request_id], server.run_left_s.get(request_id))
+            (server.run_began_s[request_id], server.work_ends_s.get(request_id))
             for server in engines
             if request_id in server.run_began_s
         )
--- a/standins/users_platform/servers.py
+++ b/standins/users_platform/servers.py
@@ -120,10 +120,9 @@
 
     All responses have the headers in `signals`. `arrival_times_s` are monotonic.
 
-    `run_began_s` and `run_left_s` are by request ID: when a run began, and when its
-    connection was closed by the other side.
-
     `run_counts` is by request ID, `piece_run_counts` by (request ID, stage, segment).
+    `run_began_s` is when it began to work on a request, `work_ends_s` when it stopped,
+    by request ID.
     """
 
     server_id: str
@@ -140,7 +139,6 @@
     run_counts: Counter = field(default_factory=Counter)
     disconnected: set[str] = field(default_factory=set)
     run_began_s: dict[str, float] = field(default_factory=dict)
-    run_left_s: dict[str, float] = field(default_factory=dict)
     piece_run_counts: Counter = field(default_factory=Counter)
     results: set[str] = field(default_factory=set)
     seen_headers: dict[str, dict] = field(default_factory=dict)
@@ -155,6 +153,7 @@
     link_back_s: float = 0.0
     signals: dict[str, str] = field(default_factory=dict)
     arrival_times_s: list[float] = field(default_factory=list)
+    work_ends_s: dict[str, float] = field(default_factory=dict)
 
     def entry(self, status: str = "ready") -> dict:
         """Return the server's entry in the platform's server table."""
@@ -355,10 +354,16 @@
             await self.flush()
             await asyncio.sleep(pause_s)
 
+    def on_finish(self) -> None:
+        self._note_end_of_work()
+
     def on_connection_close(self) -> None:
+        self.state.disconnected.add(self.request.headers.get("Request-Id", ""))
+        self._note_end_of_work()
+
+    def _note_end_of_work(self) -> None:
         request_id = self.request.headers.get("Request-Id", "")
-        self.state.disconnected.add(request_id)
-        self.state.run_left_s.setdefault(request_id, time.monotonic())
+        self.state.work_ends_s.setdefault(request_id, time.monotonic())
 
 
 class _ReportHandler(_ServerHandler):
