--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -191,6 +191,7 @@
                 self.servers,
                 ServerStartTimes(env, self.connection_pool, self.servers),
             ),
+            self.server_table.age_s,
         )
         selector = ServerSelector(env, self.servers, self.engine_placer)
         stage_client = StageClient(env, self.peers, duty_owners, self.stage_owner)
--- a/egretshed/relay/stream_resumption.py
+++ b/egretshed/relay/stream_resumption.py
@@ -1,5 +1,7 @@
 """Binds streams to the software version of the server that began them."""
 
+from collections.abc import Callable
+
 from egretshed.environment import Environment
 from egretshed.errors import NotRun
 from egretshed.logs import log_event
@@ -41,7 +43,10 @@
 
 
 class StreamResumption:
-    """Binds new streams at their first event, and resumed ones before they are sent."""
+    """Binds new streams at their first event, and resumed ones before they are sent.
+
+    `list_age_s` returns the time since the list of servers was last confirmed.
+    """
 
     def __init__(
         self,
@@ -49,11 +54,13 @@
         servers: ServerRegistry,
         versions: StreamVersions,
         restarts: RestartCheck,
+        list_age_s: Callable[[], float],
     ):
         self.env = env
         self.servers = servers
         self.versions = versions
         self.restarts = restarts
+        self.list_age_s = list_age_s
 
     async def bind_resumed(self, state: RequestState) -> None:
         """Bind a stream that the caller takes up again.
@@ -163,6 +170,7 @@
         self, state: RequestState, found: FoundStream, decision: ResumeDecision
     ) -> None:
         outcome = decision.refusal or "bound"
+        now_s = self.env.clock.monotonic_s()
         self.env.metrics.counter(
             "streams_taken_up_total", "Streams taken up again by outcome", ("outcome",)
         ).labels(outcome).inc()
@@ -176,5 +184,7 @@
             version=decision.version,
             source=found.source,
             age_s=round(found.age_s, 3),
+            list_age_s=round(self.list_age_s(), 3),
+            since_arrival_s=round(now_s - state.request.received_s, 3),
             outcome=outcome,
         )
--- a/egretshed/stream_versions/tests/fuzz_stream_versions.py
+++ b/egretshed/stream_versions/tests/fuzz_stream_versions.py
@@ -88,7 +88,9 @@
         )
         peers = network.attach(env)
         self.versions = StreamVersions(env, peers, FixedHolders())
-        self.resumption = StreamResumption(env, self.registry, self.versions, None)
+        self.resumption = StreamResumption(
+            env, self.registry, self.versions, None, lambda: 0.0
+        )
         self.started_s = network.clock.monotonic_s()
         self.unread = []
         for entry in entries.values():
