--- a/standins/users_platform/fleet.py
+++ b/standins/users_platform/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -20,6 +21,7 @@
 
 from standins.linked_server import LinkedServer
 from standins.ports import free_ports
+from standins.users_platform.proxy import FaultInjectingProxy
 from standins.users_platform.servers import (
     ServerState,
     server_application,
@@ -40,6 +42,8 @@
 SERVER_RESTART_S = 1.5
 PORTS_PER_NODE = 5
 CONNECTION_CLOSED = 599
+NODE_TABLE = "egretshed_nodes"
+SHARED_KEY_ROW = "!shared_key"
 FAULT_EVENTS = frozenset({"task_failed", "request_fault", "invariant_violated"})
 LOG_TAIL_BYTES = 2_000
 
@@ -122,7 +126,8 @@
 
     The nodes are processes of their own; the row store and the backend servers run in
     this process. `servers` counts those of each service; `engines` replaces it for the
-    engines. `bounds` adds to those in the settings of the nodes.
+    engines. `bounds` adds to those in the settings of the nodes. With `proxies_store`
+    each node reaches the store through a proxy of its own, which can cut it off.
     """
 
     def __init__(
@@ -131,10 +136,13 @@
         servers: int = 2,
         engines: int | None = None,
         bounds: dict[str, float] | None = None,
+        proxies_store: bool = False,
     ):
         self.bounds = {"shutdown_s": 4.0, **(bounds or {})}
         self.store = RowStoreState()
         self.node_count = nodes
+        self.proxies_store = proxies_store
+        self.store_proxies: dict[str, FaultInjectingProxy] = {}
         kinds = {
             "plain": "plain",
             "first": "stage",
@@ -168,6 +176,10 @@
             first = number * PORTS_PER_NODE
             self.ports[f"node-{number}"] = ports[first : first + PORTS_PER_NODE]
         for name in self.ports:
+            if self.proxies_store:
+                proxy = FaultInjectingProxy(self.store_port, random.Random(0))
+                self.store_proxies[name] = proxy
+                await proxy.start()
             await self.start_node(name)
         await self.wait_until_ready(*self.ports)
         return self
@@ -175,6 +187,8 @@
     async def __aexit__(self, *error: Any) -> None:
         for name in list(self.processes):
             await self.stop_node(name, signal.SIGKILL)
+        for proxy in self.store_proxies.values():
+            await proxy.stop()
         for task in self._crashes:
             task.cancel()
         for reserved in self._reserved_ports:
@@ -199,6 +213,19 @@
         server.crash = self.crash_server
         self.store.put_json(SERVER_TABLE, server.server_id, server.entry())
 
+    def add_server(self, service: str, kind: str, number: int, version: str) -> None:
+        """Start another server of a service and enter it in the server table."""
+        server = ServerState(
+            f"{service}-{number}",
+            service,
+            "abc"[number % 3],
+            kind,
+            version,
+            int(time.time() * 1000),
+        )
+        self.servers[server.server_id] = server
+        self._start_server(server)
+
     def crash_server(self, server: ServerState) -> bool:
         """Close a server and its connections; it returns later under another id.
 
@@ -259,6 +286,8 @@
 
     def settings(self, name: str) -> dict:
         callers, ready, directory, metrics, peers = self.ports[name]
+        proxy = self.store_proxies.get(name)
+        store_port = proxy.port if proxy else self.store_port
         domain = "abc"[int(name.rpartition("-")[2]) % 3]
         return {
             "node": {
@@ -269,7 +298,7 @@
                 "peer_port": peers,
             },
             "platform": {
-                "url": f"http://{HOST}:{self.store_port}",
+                "url": f"http://{HOST}:{store_port}",
                 "adapter": "row_store",
             },
             "peers": {"keys": ["unset"]},
@@ -299,6 +328,15 @@
                 stderr=log,
             )
 
+    async def restart_without_peers(self, name: str) -> None:
+        """Restart a node with another shared key, so that no peer talks to it."""
+        await self.stop_node(name, signal.SIGKILL)
+        key = self.store.rows[NODE_TABLE, "", SHARED_KEY_ROW].value
+        self.store.put(NODE_TABLE, SHARED_KEY_ROW, b"0" * len(key))
+        await self.start_node(name)
+        await self.wait_until_ready(name)
+        self.store.put(NODE_TABLE, SHARED_KEY_ROW, key)
+
     async def stop_node(self, name: str, signal_number: int = signal.SIGTERM) -> int:
         """Send a signal to a node, wait for its end and return its exit status."""
         process = self.processes.pop(name)
--- a/standins/users_platform/proxy.py
+++ b/standins/users_platform/proxy.py
@@ -20,6 +20,7 @@
     - ``one_way``: data from the server is discarded.
     - ``silent``: all data of the connections open at this moment is discarded, even
       after the fault ends; new connections work.
+    - ``cut_off``: the same, also for the connections opened during the fault.
     """
 
     def __init__(self, target_port: int, rng: random.Random):
@@ -45,7 +46,7 @@
         if fault == "reset":
             for writer in list(self._open):
                 _reset(writer)
-        elif fault == "silent":
+        elif fault in ("silent", "cut_off"):
             self._silenced |= self._open
 
     async def _serve(self, reader, writer) -> None:
@@ -53,6 +54,8 @@
             _reset(writer)
             return
         self._open.add(writer)
+        if self.fault == "cut_off":
+            self._silenced.add(writer)
         try:
             server_reader, server_writer = await asyncio.open_connection(
                 HOST, self.target_port
