Conclude that a service had one version only from a list younger than the request

Cause: decide_resume took the only version that the list of servers and its history showed, whatever their age. A node that stood still or was cut off decides its first requests by what it knew before. Ruled out: a timer that notices the pause (it runs after the requests that waited in the sockets); the age that peers send with the list (the peer may have stood still itself); holders of an older view as the cause (with the nodes that know a stream dead, nobody can be asked). Change: a followed table carries the moment until which it misses no change: when the last call that the store answered was sent. decide_resume compares it with the arrival of the request and refuses with list_not_confirmed if it is older. Before that the node asks the store for the changes, within 0.6 s, one read for all requests that wait. Where changes were lost, the record of versions is read again. Known streams that the list alone would refuse are decided again after the same read. A late answer of the store counts as older by as much. Tests: fuzz_stream_versions.py reads the list before a take-up only where its server had restarted under its id; before, it did so always, which hid this fault.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -59,6 +59,7 @@
 from egretshed.settings.schema import Settings
 from egretshed.stage_scheduling.client import StageClient
 from egretshed.stage_scheduling.owner import StageOwner
+from egretshed.stream_versions.list_view import ServerListView
 from egretshed.stream_versions.sharing import StreamVersions
 from egretshed.stream_versions.version_record import VersionRecord
 from egretshed.upstream.pool import ConnectionPool
@@ -191,7 +192,7 @@
                 self.servers,
                 ServerStartTimes(env, self.connection_pool, self.servers),
             ),
-            self.server_table.age_s,
+            ServerListView(env, self.server_table, self.store, self.version_record),
         )
         selector = ServerSelector(env, self.servers, self.engine_placer)
         stage_client = StageClient(env, self.peers, duty_owners, self.stage_owner)
--- a/egretshed/daemon/tests/out_of_step.feature
+++ b/egretshed/daemon/tests/out_of_step.feature
@@ -30,7 +30,6 @@
       | node-2 | cut peers           | 2.5   | nothing happened | killed | go on       | do not exist |
       | node-2 | cut peers and store | 2.5   | nothing happened | killed | go on       | do not exist |
 
-    @known_red
     Examples: nobody who could be asked knows the streams
       | node   | kind                | for_s | meanwhile             | fate   | of_v1        | of_v2       |
       | node-2 | standing still      | 2.5   | v2 joined             | killed | are refused  | are refused |
@@ -38,6 +37,7 @@
       | node-1 | standing still      | 4     | v2 joined             | killed | are refused  | are refused |
       | node-2 | standing still      | 2.5   | v2 joined and v2 left | killed | are refused  | are refused |
       | node-2 | standing still      | 2.5   | v2 joined and v1 left | killed | do not exist | are refused |
+      | node-2 | standing still      | 4     | v2 joined and v2 left and the store lost its history | killed | are refused | are refused |
       | node-2 | cut peers and store | 2.5   | v2 joined             | killed | are refused  | are refused |
       | node-2 | cut peers and store | 2.5   | v2 joined and v2 left | killed | are refused  | are refused |
       | node-2 | cut peers and store | 2.5   | v2 joined and v1 left | killed | do not exist | are refused |
--- a/egretshed/daemon/tests/steps/out_of_step_steps.py
+++ b/egretshed/daemon/tests/steps/out_of_step_steps.py
@@ -131,6 +131,8 @@
         for server in _engines(context, "v2"):
             fleet.store.put(SERVER_TABLE, server.server_id, None)
         await asyncio.sleep(LIST_DELAY_S)
+    if "lost its history" in meanwhile:
+        fleet.store.compact()
     if fate == "killed":
         await asyncio.gather(
             *(fleet.stop_node(other, signal.SIGKILL) for other in context.others)
--- a/egretshed/feeds/follower.py
+++ b/egretshed/feeds/follower.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from itertools import (
@@ -82,6 +83,13 @@
         self.is_connected = False
         # When the state was last confirmed to be current.
         self.confirmed_s: float | None = None
+        # The store has no change from before this moment that is not known here: when
+        # the last call that it answered was sent. The answer itself may have waited in
+        # a socket while this process stood still.
+        self.as_of_s = -math.inf
+        # When rows may last have come and gone without being seen here.
+        self.gap_s: float | None = None
+        self._has_snapshot = False
         # When the store was last reachable again, for this node or for its source.
         self.regained_s: float | None = None
         self.must_read_store = False
@@ -214,6 +222,27 @@
                 if not is_full_read:
                     history_losses, retry_delay_s = 0, RETRY_MIN_S
 
+    async def read_now(self, store: ChangeFeed) -> None:
+        """Apply all changes that the store has now, beside the calls of `run`.
+
+        Raises `PlatformUnavailable`.
+        """
+        try:
+            if not self.is_loaded:
+                raise HistoryLost(f"table {self.table} is not loaded")
+            changes = await store.changes(self.table, self.version, 0.0)
+        except HistoryLost:
+            changes = await store.read_table(self.table)
+            self._apply_snapshot(changes, "store")
+        else:
+            self._apply_changes(changes)
+        self._note_as_of(changes)
+
+    def _note_as_of(self, changes: TableChanges) -> None:
+        """Record as of when the store was read, once its answer is applied."""
+        if changes.sent_s is not None and changes.version >= self.version:
+            self.as_of_s = max(self.as_of_s, changes.sent_s)
+
     async def _poll(self) -> None:
         if self._needs_full_read:
             changes = await self.feed().read_table(self.table)
@@ -221,6 +250,7 @@
             source = "store" if changes.regained_age_s is None else "peer"
             self._apply_snapshot(changes, source)
             self._needs_full_read = False
+            self._note_as_of(changes)
             return
         base_version = self.version
         # A call to an unresponsive store takes its full wait time. While disconnected,
@@ -234,6 +264,7 @@
             self._apply_snapshot(self._with_known_values(changes), "peer")
         else:
             self._apply_changes(changes)
+        self._note_as_of(changes)
 
     def _apply_snapshot(self, changes: TableChanges, source: str) -> None:
         if changes.version < self.version:
@@ -247,6 +278,9 @@
         removed = tuple(
             StoredRow(part, key, None, changes.version) for part, key in removed_keys
         )
+        if self._has_snapshot:
+            self.gap_s = self.env.clock.monotonic_s()
+        self._has_snapshot = True
         self.rows = {(row.part, row.key): row for row in changes.rows}
         self.version = changes.version
         self._confirm(changes.age_s)
@@ -285,7 +319,8 @@
         newer = tuple(row for row in changes.rows if self._is_newer(row))
         for row in newer:
             if row.value is None:
-                self.rows.pop((row.part, row.key), None)
+                if self.rows.pop((row.part, row.key), None) is None:
+                    self.gap_s = self.env.clock.monotonic_s()
             else:
                 self.rows[row.part, row.key] = row
         self.version = max(self.version, changes.version)
@@ -306,6 +341,13 @@
         self._changed = asyncio.Event()
 
     def _is_newer(self, row: StoredRow) -> bool:
+        """Return whether a row is not known here yet.
+
+        Rows up to `version` are, also if they were removed: answers to calls that ran
+        at the same time arrive in any order.
+        """
+        if row.version <= self.version:
+            return False
         known = self.rows.get((row.part, row.key))
         return known is None or row.version > known.version
 
--- a/egretshed/membership/registered_nodes.py
+++ b/egretshed/membership/registered_nodes.py
@@ -84,6 +84,10 @@
             return listed
         return await self._read_rows()
 
+    async def read_shared_records(self) -> None:
+        """Update `shared_records`; raises `PlatformUnavailable`."""
+        await self._read_rows()
+
     async def _read_rows(self) -> list[ListedVm]:
         changes = await self.store.read_table(NODE_TABLE)
         if not self._was_restored.is_set():
--- a/egretshed/platform/interface.py
+++ b/egretshed/platform/interface.py
@@ -50,6 +50,8 @@
     With `is_whole` they are a snapshot of the table, in which rows without a value are
     unchanged. Changes forwarded by a peer carry `regained_age_s`, the seconds since
     that peer regained access to the store, and `age_s`, those since it confirmed them.
+    Those that the store itself returned carry `sent_s`, when the call was sent: they
+    miss no change from before that.
     """
 
     rows: tuple[StoredRow, ...]
@@ -57,6 +59,7 @@
     regained_age_s: float | None = None
     is_whole: bool = False
     age_s: float = 0.0
+    sent_s: float | None = None
 
 
 class ChangeFeed(Protocol):
--- a/egretshed/platform/store.py
+++ b/egretshed/platform/store.py
@@ -98,6 +98,7 @@
         """
         rows: list[StoredRow] = []
         start, version = "", 0
+        sent_s = self.env.clock.monotonic_s()
         while True:
             query = {"table": table, "part": part, "limit": PAGE_ROWS}
             if start:
@@ -108,7 +109,8 @@
             version = version or page.row_version
             rows += [_decode_row(row) for row in page.rows]
             if not page.has_more or not page.rows:
-                return TableChanges(tuple(rows), version)
+                age_s = self.env.clock.monotonic_s() - sent_s
+                return TableChanges(tuple(rows), version, age_s=age_s, sent_s=sent_s)
             start = page.rows[-1].key + "\0"
 
     async def changes(self, table: str, after: int, wait_s: float) -> TableChanges:
@@ -121,11 +123,18 @@
             "after": version_in_store(after),
             "wait_ms": int(wait_s * 1000),
         }
+        sent_s = self.env.clock.monotonic_s()
         page = await self._get("/rows-feed", query, wait_s + FEED_TIMEOUT_MARGIN_S)
+        # The store has answered by the end of the wait. If this process stood still
+        # meanwhile, its answer is older than its arrival.
+        late_s = self.env.clock.monotonic_s() - sent_s - wait_s
         if era_of(page.row_version) != era_of(after):
             raise HistoryLost("the store was restored from a copy")
         return TableChanges(
-            tuple(_decode_row(row) for row in page.rows), page.row_version
+            tuple(_decode_row(row) for row in page.rows),
+            page.row_version,
+            age_s=max(0.0, late_s),
+            sent_s=sent_s,
         )
 
     async def write(
--- a/egretshed/relay/stream_resumption.py
+++ b/egretshed/relay/stream_resumption.py
@@ -1,7 +1,5 @@
 """Binds streams to the software version of the server that began them."""
 
-from collections.abc import Callable
-
 from egretshed.environment import Environment
 from egretshed.errors import NotRun
 from egretshed.logs import log_event
@@ -11,6 +9,7 @@
 from egretshed.servers.registry import ServerRegistry
 from egretshed.servers.state import ServerState
 from egretshed.serving.schema import Route
+from egretshed.stream_versions.list_view import ServerListView
 from egretshed.stream_versions.records import (
     MAX_AGE_S,
     STREAM_LIFE_S,
@@ -32,7 +31,15 @@
 LOST_RETRY_AFTER_S = 2.0
 # A stream of a route with a long timeout may last for this multiple of it.
 STREAM_LIFE_FACTOR = 2.0
-PASSING_REFUSALS = frozenset({"version_not_served", "list_outdated"})
+PASSING_REFUSALS = frozenset(
+    {"version_not_served", "list_outdated", "list_not_confirmed"}
+)
+# Refusals that a list confirmed since the request arrived may turn out to be wrong.
+LIST_REFUSALS = PASSING_REFUSALS
+# Longest wait for the store to confirm the list. Callers may try another node.
+CONFIRM_LIMIT_S = 0.6
+# Share of the remaining time of a request that the wait may take.
+CONFIRM_SHARE = 0.5
 PASSING_SOURCES = frozenset({"holders_silent"})
 MAX_LOGGED_ID = 80
 
@@ -43,10 +50,7 @@
 
 
 class StreamResumption:
-    """Binds new streams at their first event, and resumed ones before they are sent.
-
-    `list_age_s` returns the time since the list of servers was last confirmed.
-    """
+    """Binds new streams at their first event, and resumed ones before they are sent."""
 
     def __init__(
         self,
@@ -54,13 +58,13 @@
         servers: ServerRegistry,
         versions: StreamVersions,
         restarts: RestartCheck,
-        list_age_s: Callable[[], float],
+        server_list: ServerListView,
     ):
         self.env = env
         self.servers = servers
         self.versions = versions
         self.restarts = restarts
-        self.list_age_s = list_age_s
+        self.server_list = server_list
 
     async def bind_resumed(self, state: RequestState) -> None:
         """Bind a stream that the caller takes up again.
@@ -72,18 +76,9 @@
         if not (route.is_stream and route.is_resumable and request.takes_up_stream):
             return
         found = await self.versions.find(request.resumes)
-        services = tuple(target.service for target in route.services)
-        decision = decide_resume(
-            found.beginning,
-            services,
-            self._only_version(
-                found.beginning.service if found.beginning else "", route
-            ),
-            [s.listed for name in services for s in self.servers.of_service(name)],
-            self._former_entries(found.beginning),
-            self.servers.is_store_connected()
-            or await self.restarts.is_start_confirmed(found.beginning),
-        )
+        decision = await self._decide(state, found)
+        if decision.refusal in LIST_REFUSALS and await self._confirm_list(state):
+            decision = await self._decide(state, found)
         self._record(state, found, decision)
         if decision.refusal:
             is_passing = (
@@ -98,6 +93,30 @@
         state.bound_version = decision.version
         state.beginning = found.beginning
 
+    async def _decide(self, state: RequestState, found: FoundStream) -> ResumeDecision:
+        route, beginning = state.route, found.beginning
+        services = tuple(target.service for target in route.services)
+        requested_s = state.request.received_s
+        list_as_of_s = self.server_list.as_of_s()
+        return decide_resume(
+            beginning,
+            services,
+            self._only_version(beginning.service if beginning else "", route),
+            [s.listed for name in services for s in self.servers.of_service(name)],
+            self._former_entries(beginning),
+            self.server_list.is_current()
+            or list_as_of_s >= requested_s
+            or await self.restarts.is_start_confirmed(beginning),
+            list_as_of_s=list_as_of_s,
+            requested_s=requested_s,
+        )
+
+    async def _confirm_list(self, state: RequestState) -> bool:
+        """Return whether the list is known to be younger than the request."""
+        remaining_s = state.remaining_s(self.env.clock.monotonic_s())
+        limit_s = min(CONFIRM_LIMIT_S, CONFIRM_SHARE * remaining_s)
+        return await self.server_list.confirm(state.request.received_s, limit_s)
+
     async def begin(self, state: RequestState, server: ServerState) -> None:
         """Bind a stream to the version of the server that brings its first event.
 
@@ -145,7 +164,7 @@
 
         While the store is away, a server may have restarted with any known version.
         """
-        return self.servers.is_store_connected() or bool(
+        return self.server_list.is_current() or bool(
             self._only_version(state.service, state.route)
         )
 
@@ -184,7 +203,7 @@
             version=decision.version,
             source=found.source,
             age_s=round(found.age_s, 3),
-            list_age_s=round(self.list_age_s(), 3),
+            list_age_s=round(self.server_list.age_s(), 3),
             since_arrival_s=round(now_s - state.request.received_s, 3),
             outcome=outcome,
         )
--- a/egretshed/stream_versions/resume_decision.py
+++ b/egretshed/stream_versions/resume_decision.py
@@ -33,6 +33,9 @@
     listed: Iterable[ListedServer],
     former: Iterable[ListedServer] = (),
     is_list_current: bool = True,
+    *,
+    list_as_of_s: float,
+    requested_s: float,
 ) -> ResumeDecision:
     """Return where a stream goes on.
 
@@ -41,11 +44,18 @@
     stream may last, if there is one. `listed` are the servers of these services,
     `former` the entries that those of the stream's server had before. If the list may
     be outdated, a server may have restarted with any of the versions.
+
+    `list_as_of_s` is the moment until which the list misses no server, `requested_s`
+    that at which the request arrived. A stream that is taken up began before that, so
+    only a list that is as young shows that no other version can have begun it. The node
+    may have stood still or been cut off before, while servers joined.
     """
     if beginning is None:
-        if len(services) == 1 and only_version is not None:
-            return ResumeDecision(services[0], only_version)
-        return ResumeDecision(refusal="stream_unknown")
+        if len(services) != 1 or only_version is None:
+            return ResumeDecision(refusal="stream_unknown")
+        if list_as_of_s < requested_s:
+            return ResumeDecision(refusal="list_not_confirmed")
+        return ResumeDecision(services[0], only_version)
     if beginning.service not in services:
         return ResumeDecision(refusal="service_changed")
     servers = [s for s in listed if s.service == beginning.service]
--- a/egretshed/stream_versions/tests/decisions.feature
+++ b/egretshed/stream_versions/tests/decisions.feature
@@ -38,6 +38,25 @@
       | s1@v1:0 s2@v1:0 | v1   | goes on at v1             |
       | s1@v1:0 s2@v2:0 | none | is refused: list_outdated |
 
+  # Guards against a stream of a version that joined after the list was confirmed, and
+  # against a known one that is refused because the list is old.
+  Scenario Outline: The list is confirmed until <age_s> s before the request, <known>
+    Given a stream that is <known> on a route to "x"
+    And the list misses no server until <age_s> s before the request arrived
+    And the servers s1@v1:0 s2@v1:0 and, formerly, none
+    When it is taken up while the only version is <only>
+    Then it <outcome>
+
+    Examples:
+      | known   | age_s | only | outcome                        |
+      | unknown | 0     | v1   | goes on at v1                  |
+      | unknown | -0.1  | v1   | goes on at v1                  |
+      | unknown | 0.01  | v1   | is refused: list_not_confirmed |
+      | unknown | 2.5   | v1   | is refused: list_not_confirmed |
+      | unknown | 2.5   | none | is refused: stream_unknown     |
+      | known   | 2.5   | v1   | goes on at v1                  |
+      | known   | 2.5   | none | goes on at v1                  |
+
   # Guards against streams that begin at a version which a single lost server takes away.
   Scenario Outline: Streams that may be resumed, servers <servers>
     Given the servers <servers> and, formerly, none
--- a/egretshed/stream_versions/tests/fuzz_stream_versions.py
+++ b/egretshed/stream_versions/tests/fuzz_stream_versions.py
@@ -1,9 +1,10 @@
 """Random releases, restarts and cuts while callers take streams up at random nodes.
 
 Servers have one of three versions, come, leave and restart with another version under
-their id; the lists of nodes lag behind by less than a restart takes. Nodes restart
-without their memory, and are cut off from the others. A stream is taken up within the
-time that one may last.
+their id; the lists of nodes lag behind by less than a restart takes, and by any time
+where new servers join and leave. Nodes restart without their memory, are cut off from
+the others, and from the store, which they ask for the list when a decision needs it. A
+stream is taken up within the time that one may last.
 
 Oracle: a stream goes on only at the version that its first server had. At the node that
 began it, it does so unless that node or its server has restarted, or no server of the
@@ -47,6 +48,10 @@
 SERVICE = "engine"
 DOMAIN_OF = {"n1": "a", "n2": "a", "n3": "b", "n4": "b", "n5": "c"}
 SERVERS = tuple(f"s{number}" for number in range(6))
+# Servers that join once.
+JOINING = tuple(f"j{number}" for number in range(3))
+# After this time the nodes know that no server had another version before the start.
+FOLLOWED_S = 25.0
 # A restarting server is down for this long, within which it leaves its callers.
 SERVER_DOWN_S = 1.0
 ROUTE = Route(
@@ -67,7 +72,13 @@
 
 nodes = st.sampled_from(sorted(DOMAIN_OF))
 servers = st.sampled_from(SERVERS)
+joining = st.sampled_from(JOINING)
 versions = st.sampled_from(("v1", "v2", "v3"))
+# A single version is the case in which unknown streams go on.
+initial_versions = st.one_of(
+    versions.map(lambda version: [version] * len(SERVERS)),
+    st.lists(versions, min_size=len(SERVERS), max_size=len(SERVERS)),
+)
 
 
 class FixedHolders:
@@ -80,6 +91,29 @@
         return list(first.values())[:count]
 
 
+class ListView:
+    """`ServerListView` of a node; `has_store` tells whether the store answers it."""
+
+    def __init__(self, node):
+        self.node = node
+        self.has_store = True
+        self.read_s = node.clock.monotonic_s()
+
+    def age_s(self):
+        return self.node.clock.monotonic_s() - self.read_s
+
+    def is_current(self):
+        return True
+
+    def as_of_s(self):
+        return self.read_s
+
+    async def confirm(self, since_s, limit_s):
+        if self.has_store:
+            self.node.read_list()
+        return self.has_store
+
+
 class Node:
     def __init__(self, node_id, network, entries):
         env = make_environment(network.clock, node_id)
@@ -88,8 +122,10 @@
         )
         peers = network.attach(env)
         self.versions = StreamVersions(env, peers, FixedHolders())
+        self.clock = network.clock
+        self.view = ListView(self)
         self.resumption = StreamResumption(
-            env, self.registry, self.versions, None, lambda: 0.0
+            env, self.registry, self.versions, None, self.view
         )
         self.started_s = network.clock.monotonic_s()
         self.unread = []
@@ -104,10 +140,11 @@
             else:
                 self.registry.apply(entry)
         self.unread.clear()
+        self.view.read_s = self.clock.monotonic_s()
 
 
 class VersionMachine(RuleBasedStateMachine):
-    @initialize(initial=st.lists(versions, min_size=6, max_size=6))
+    @initialize(initial=initial_versions)
     def start(self, initial):
         self.loop = asyncio.new_event_loop()
         self.clock = ManualClock()
@@ -116,12 +153,15 @@
         self.nodes = {}
         self.streams = {}
         self.changed = set()
+        self.joined = set()
+        # The node that does not see the last server that joined, and a stream of that.
+        self.unseen = None
         self.count = 0
         for server_id, version in zip(SERVERS, initial, strict=True):
             self.entries[server_id] = self.entry(server_id, version)
         for node_id in DOMAIN_OF:
             self.nodes[node_id] = Node(node_id, self.network, self.entries)
-        self.wait(1.0)
+        self.wait(FOLLOWED_S)
 
     def teardown(self):
         if hasattr(self, "loop"):
@@ -163,6 +203,31 @@
     def remove_server(self, server_id):
         self.publish(server_id, None)
 
+    @rule(node_id=nodes, server_id=joining, version=versions, is_cut=st.booleans())
+    def join_server(self, node_id, server_id, version, is_cut):
+        """Let a server join and begin a stream, which one node does not see."""
+        if server_id in self.joined:
+            return
+        self.joined.add(server_id)
+        if is_cut:
+            self.cut_off(node_id)
+        self.publish(server_id, self.entry(server_id, version))
+        for other_id, node in self.nodes.items():
+            if other_id != node_id:
+                node.read_list()
+        beginner_id = next(other_id for other_id in DOMAIN_OF if other_id != node_id)
+        self.begin_stream(self.nodes[beginner_id], server_id)
+        self.unseen = (node_id, f"r{self.count}")
+
+    @rule(server_id=joining)
+    def remove_joined_server(self, server_id):
+        if server_id in self.entries:
+            self.publish(server_id, None)
+
+    @rule(node_id=nodes, has_store=st.booleans())
+    def cut_store(self, node_id, has_store):
+        self.nodes[node_id].view.has_store = has_store
+
     @rule(node_id=nodes)
     def read_list(self, node_id):
         self.nodes[node_id].read_list()
@@ -198,11 +263,15 @@
         )
         return RequestState(request, None, ROUTE, None, 1, SERVICE, 0.0, 0.0)
 
-    @rule(node_id=nodes, server_id=servers)
-    def begin(self, node_id, server_id):
+    @rule(node_id=nodes, data=st.data())
+    def begin(self, node_id, data):
         node = self.nodes[node_id]
-        if server_id not in self.entries or server_id not in node.registry.servers:
+        known = sorted(set(self.entries) & set(node.registry.servers))
+        if not known:
             return
+        self.begin_stream(node, data.draw(st.sampled_from(known)))
+
+    def begin_stream(self, node, server_id):
         self.count += 1
         request_id = f"r{self.count}"
         state = self.state(request_id)
@@ -210,7 +279,8 @@
         server = node.registry.servers[server_id]
         self.loop.run_until_complete(self.begin_at(node, state, server))
         version = self.entries[server_id].version
-        self.streams[request_id] = (version, node, self.clock.monotonic_s())
+        now_s = self.clock.monotonic_s()
+        self.streams[request_id] = (version, node, now_s, server_id)
         self.wait(0.05)
 
     async def begin_at(self, node, state, server):
@@ -218,19 +288,26 @@
 
     @rule(node_id=nodes, data=st.data())
     def take_up(self, node_id, data):
-        now_s = self.clock.monotonic_s()
-        alive = [
-            request_id
-            for request_id, (_, _, began_s) in self.streams.items()
-            if now_s - began_s < stream_life_s(ROUTE)
-        ]
-        if not alive:
-            return
-        request_id = data.draw(st.sampled_from(sorted(alive)))
+        alive = sorted(filter(self.is_alive, self.streams))
+        if alive:
+            self.take_up_stream(node_id, data.draw(st.sampled_from(alive)))
+
+    @rule()
+    def take_up_unseen(self):
+        if self.unseen is not None and self.is_alive(self.unseen[1]):
+            self.take_up_stream(*self.unseen)
+
+    def is_alive(self, request_id):
+        began_s = self.streams[request_id][2]
+        return self.clock.monotonic_s() - began_s < stream_life_s(ROUTE)
+
+    def take_up_stream(self, node_id, request_id):
         node = self.nodes[node_id]
-        node.read_list()
+        version, _, began_s, server_id = self.streams[request_id]
+        if server_id in self.changed:
+            # Only the server itself could tell of a restart that the list hides.
+            node.read_list()
         state = self.state("again", request_id, "2")
-        version, _, began_s = self.streams[request_id]
         task = self.loop.create_task(node.resumption.bind_resumed(state))
         self.wait(1.0)
         try:
@@ -248,7 +325,7 @@
             assert is_excused, (request_id, state.bound_version)
 
     def must_go_on(self, request_id, node):
-        version, beginner, _ = self.streams[request_id]
+        version, beginner, _, _ = self.streams[request_id]
         if beginner is not node:
             return False
         at_start = [e for e in self.entries.values() if e.version == version]
--- a/egretshed/stream_versions/tests/steps/decision_steps.py
+++ b/egretshed/stream_versions/tests/steps/decision_steps.py
@@ -22,6 +22,7 @@
 )
 
 SERVER = re.compile(r"(\w+)@(\w+):(-?[\d.]+)(-?)$")
+REQUESTED_S = 50.0
 BEGINNING = StreamBeginning("x", "v1", "s1", 0, 100_000)
 
 
@@ -44,6 +45,7 @@
     context.beginning = BEGINNING if known == "known" else None
     context.services = tuple(services.split())
     context.is_list_current = True
+    context.list_as_of_s = REQUESTED_S
 
 
 @given("the list may be outdated")
@@ -51,6 +53,11 @@
     context.is_list_current = False
 
 
+@given("the list misses no server until {age_s:g} s before the request arrived")
+def list_age(context, age_s):
+    context.list_as_of_s = REQUESTED_S - age_s
+
+
 @given("the servers {servers} and, formerly, {former}")
 def listed(context, servers, former):
     context.listed, context.former = _servers(servers), _servers(former)
@@ -65,6 +72,8 @@
         context.listed,
         context.former,
         context.is_list_current,
+        list_as_of_s=context.list_as_of_s,
+        requested_s=REQUESTED_S,
     )
 
 
--- a/egretshed/stream_versions/version_record.py
+++ b/egretshed/stream_versions/version_record.py
@@ -49,6 +49,19 @@
         self.owners = owners
         self.records = records
         self._written: _RecordWire = {}
+        # When the record was last read; at first that was to join.
+        self.read_s = env.clock.monotonic_s()
+
+    async def read(self) -> None:
+        """Read the record again, since changes of the list were missed.
+
+        Raises `PlatformUnavailable`.
+        """
+        # When the call is sent, since its answer may be late.
+        sent_s = self.env.clock.monotonic_s()
+        await self.records.read_shared_records()
+        self.load()
+        self.read_s = sent_s
 
     def load(self) -> None:
         """Tell the registry of the versions in the record, if there is one.
