--- a/egretshed/stream_versions/tests/fuzz_stream_versions.py
+++ b/egretshed/stream_versions/tests/fuzz_stream_versions.py
@@ -203,8 +203,14 @@
     def remove_server(self, server_id):
         self.publish(server_id, None)
 
-    @rule(node_id=nodes, server_id=joining, version=versions, is_cut=st.booleans())
-    def join_server(self, node_id, server_id, version, is_cut):
+    @rule(
+        node_id=nodes,
+        server_id=joining,
+        version=versions,
+        is_cut=st.booleans(),
+        is_taken_up=st.booleans(),
+    )
+    def join_server(self, node_id, server_id, version, is_cut, is_taken_up):
         """Let a server join and begin a stream, which one node does not see."""
         if server_id in self.joined:
             return
@@ -218,6 +224,8 @@
         beginner_id = next(other_id for other_id in DOMAIN_OF if other_id != node_id)
         self.begin_stream(self.nodes[beginner_id], server_id)
         self.unseen = (node_id, f"r{self.count}")
+        if is_taken_up:
+            self.take_up_unseen()
 
     @rule(server_id=joining)
     def remove_joined_server(self, server_id):
--- a/egretshed/stream_versions/version_record.py
+++ b/egretshed/stream_versions/version_record.py
@@ -97,10 +97,15 @@
             await self.env.clock.sleep(UPDATE_PERIOD_S)
 
     async def _update(self) -> None:
-        current = self._current()
-        if not current or _listed(current) == _listed(self._written):
+        if not self._has_changed():
             return
         try:
+            if self._written:
+                # Another owner may have written versions that this node has missed.
+                await self.read()
+                if not self._has_changed():
+                    return
+            current = self._current()
             await self.records.write_shared_record(
                 RECORD_KEY, msgspec.json.encode(current)
             )
@@ -110,6 +115,10 @@
         self._written = current
         log_event(self.env.logger, "version_record_written", versions=current)
 
+    def _has_changed(self) -> bool:
+        current = self._current()
+        return bool(current) and _listed(current) != _listed(self._written)
+
     def _current(self) -> _RecordWire:
         now_s, wall_s = self.env.clock.monotonic_s(), self.env.clock.wall_s()
         return {
