--- a/egretshed/quarantine/crash_reports.py
+++ b/egretshed/quarantine/crash_reports.py
@@ -9,6 +9,10 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import (
+    Awaitable,
+    Callable,
+)
 from typing import NamedTuple
 
 from egretshed.environment import Environment
@@ -60,7 +64,11 @@
 
 
 class CrashReporter:
-    """Reports crashes as a node that relays, and judges them as an owner."""
+    """Reports crashes as a node that relays, and judges them as an owner.
+
+    `check_listener` returns `crashed` if nothing listens at an address, else `alive` or
+    `unknown`; the default connects to it.
+    """
 
     def __init__(
         self,
@@ -68,11 +76,13 @@
         peers: PeerNetwork,
         owners: DutyOwners,
         guard: InputGuard,
+        check_listener: Callable[[str], Awaitable[str]] | None = None,
     ):
         self.env = env
         self.peers = peers
         self.owners = owners
         self.guard = guard
+        self._check_listener = check_listener or _check_listener
         self._evidence: dict[str, CrashEvidence] = defaultdict(CrashEvidence)
         # Requests that each server broke off, until the check of the server ends.
         self._broken_runs: dict[str, list[BrokenRun]] = {}
@@ -118,7 +128,7 @@
     async def _check(self, server_id: str, address: str) -> None:
         try:
             await self.env.clock.sleep(CHECK_DELAY_S)
-            outcome = await _check_listener(address)
+            outcome = await self._check_listener(address)
         finally:
             runs = self._broken_runs.pop(server_id)
         for run in runs:
