Count crashes that an inner part explains once against an outer part

Cause: a part was blamed for three crashes whatever was within it there. Two crashes by the part of one tenant and one with another cause blamed the system prompt of all, and every prompt of the service was refused. Ruled out: a lost report or first event; all nodes had all reports, and no prompt had an event in between. Change: the crashes in which one inner input is still a suspect count once against an outer one. If the outer part is the cause it is blamed after four crashes at the latest where it was after three, since then two inner parts explain two crashes each.

--- a/egretshed/quarantine/crash_evidence.py
+++ b/egretshed/quarantine/crash_evidence.py
@@ -9,7 +9,9 @@
 prompt only while the prompt had no event yet. Any first event of a prompt clears its
 parts, and any request that has run to its end clears itself. Of several inputs of a
 request that are suspects in enough crashes, the innermost one is blamed, since it is in
-the fewest requests: if an outer one is the cause, further crashes show that.
+the fewest requests: if an outer one is the cause, further crashes show that. Crashes in
+which one inner input is a suspect count once against an outer one. Otherwise two
+crashes by a tenant's prompt and one with another cause would blame the system prompt.
 """
 
 import itertools
@@ -44,6 +46,13 @@
     crashed_s: float
 
 
+class Suspicion(NamedTuple):
+    """Suspicion of an input in one crash; `inner_ids` are inputs within it there."""
+
+    run: SuspectRun
+    inner_ids: frozenset[str]
+
+
 class Crash(NamedTuple):
     """One crash; `number` is the same for reports about the same one."""
 
@@ -63,7 +72,7 @@
 
     def __init__(self) -> None:
         self._numbers = itertools.count(1)
-        self._suspects: OrderedDict[str, dict[int, SuspectRun]] = OrderedDict()
+        self._suspects: OrderedDict[str, dict[int, Suspicion]] = OrderedDict()
         self._last_crash_of: dict[str, Crash] = {}
         self._explained: set[int] = set()
 
@@ -83,8 +92,12 @@
             self._explain({crash.number})
         if crash.number in self._explained:
             return
-        for input_id in input_ids:
-            self._suspects.setdefault(input_id, {})[crash.number] = run
+        for index, input_id in enumerate(input_ids):
+            suspicions = self._suspects.setdefault(input_id, {})
+            inner_ids = frozenset(input_ids[index + 1 :])
+            if crash.number in suspicions:
+                inner_ids |= suspicions[crash.number].inner_ids
+            suspicions[crash.number] = Suspicion(run, inner_ids)
             self._suspects.move_to_end(input_id)
         while len(self._suspects) > MAX_SUSPECTS:
             self._suspects.popitem(last=False)
@@ -99,21 +112,38 @@
 
         Crashes with a common cause count as one.
         """
-        count, last_s = 0, -math.inf
-        for run in self._runs(input_id, now_s):
+        return len(self._counted(input_id, now_s))
+
+    def _counted(self, input_id: str, now_s: float) -> dict[int, Suspicion]:
+        """Return one suspicion for each crash that counts, by the crash's number."""
+        counted, last_s = {}, -math.inf
+        for number, suspicion in self._recent(input_id, now_s):
+            run = suspicion.run
             is_apart = run.crashed_s - last_s >= COMMON_CAUSE_S
             if is_apart or run.began_s >= last_s - REPORT_JITTER_S:
-                count, last_s = count + 1, run.crashed_s
-        return count
+                counted[number], last_s = suspicion, run.crashed_s
+        return counted
+
+    def _is_culprit(self, input_id: str, now_s: float) -> bool:
+        """Return whether enough crashes have no better explanation than an input."""
+        counted = self._counted(input_id, now_s)
+        inner_ids = {i for suspicion in counted.values() for i in suspicion.inner_ids}
+        explained = max(
+            (len(counted.keys() & self._suspects.get(i, {}).keys()) for i in inner_ids),
+            default=0,
+        )
+        return len(counted) - max(0, explained - 1) >= CRASHES_TO_BLAME
 
     def first_crash_s(self, input_id: str, now_s: float) -> float:
         """Return the time of the first remembered crash, `now_s` if there is none."""
-        return min((r.crashed_s for r in self._runs(input_id, now_s)), default=now_s)
+        recent = self._recent(input_id, now_s)
+        return recent[0][1].run.crashed_s if recent else now_s
 
-    def _runs(self, input_id: str, now_s: float) -> list[SuspectRun]:
-        runs = self._suspects.get(input_id, {}).values()
-        recent = (run for run in runs if now_s - run.crashed_s < MEMORY_S)
-        return sorted(recent, key=lambda run: run.crashed_s)
+    def _recent(self, input_id: str, now_s: float) -> list[tuple[int, Suspicion]]:
+        """Return the numbers of crashes and the suspicions, in the order of time."""
+        suspicions = self._suspects.get(input_id, {}).items()
+        recent = (s for s in suspicions if now_s - s[1].run.crashed_s < MEMORY_S)
+        return sorted(recent, key=lambda item: item[1].run.crashed_s)
 
     def culprits(
         self, requests: list[tuple[str, ...]], now_s: float
@@ -140,7 +170,7 @@
 
     def _innermost(self, input_ids: tuple[str, ...], now_s: float) -> str | None:
         for input_id in reversed(input_ids):
-            if self.crash_count(input_id, now_s) >= CRASHES_TO_BLAME:
+            if self._is_culprit(input_id, now_s):
                 return input_id
         return None
 
--- a/egretshed/quarantine/tests/evidence.feature
+++ b/egretshed/quarantine/tests/evidence.feature
@@ -22,6 +22,9 @@
       | crashes are too far apart           | 1:e1:a/x 400:e2:a/x 900:e3:a/x                                    | none   |
       | an outer part stays suspect         | 1:e1:a/x 2:e2:a/x 3:e3:a/x 4:e4:a/y 5:e5:a/z 6:e6:a/w             | x a    |
       | victims of a blamed part            | 1:e1:a/x 2:e2:a/x,b/v 3:e3:a/x,b/v 4:e4:a/x,b/v 5:e5:b/v          | x      |
+      | a crash with another cause          | 1:e1:a/x 2:e2:a/x 3:e3:a/y                                        | none   |
+      | it was one of the inner part after all | 1:e1:a/x 2:e2:a/x 3:e3:a/y 4:e4:a/x                            | x      |
+      | outer part, inner ones twice each   | 1:e1:a/x 2:e2:a/x 3:e3:a/y 4:e4:a/y                               | a      |
       | two parts in turn                   | 1:e1:a/x 2:e2:b/y 3:e3:a/x 4:e4:b/y 5:e5:a/x 6:e6:b/y             | x y    |
 
     Examples:
