Let the successors of the owner blame parts of prompts

Cause: only the owner of a service blamed parts of prompts. While its loss was not noticed yet, nobody did, and engine after engine crashed. Ruled out: missing evidence; both successors had every report. Change: each node that is told of crashes may blame a part, a successor 0.1 s after the crash, as it does with whole requests. The node that placed a prompt tells the others (InputCleared) when the prompt gets its first event and one of its parts is a suspect or on probation, so that they know what the owner knows.

--- a/egretshed/quarantine/crash_evidence.py
+++ b/egretshed/quarantine/crash_evidence.py
@@ -107,6 +107,9 @@
         for input_id in input_ids:
             self._suspects.pop(input_id, None)
 
+    def is_suspect(self, input_id: str) -> bool:
+        return input_id in self._suspects
+
     def crash_count(self, input_id: str, now_s: float) -> int:
         """Return the number of remembered crashes in which an input is a suspect.
 
--- a/egretshed/quarantine/crash_reports.py
+++ b/egretshed/quarantine/crash_reports.py
@@ -3,8 +3,9 @@
 A node whose request is broken off checks whether the server still listens. If
 connections are refused, its process has ended, and the inputs of all requests that it
 broke off are reported to the owner of the service and to its successors. Each of them
-blames whole requests, so that no loss of one loses the evidence. Only the owner blames
-parts of prompts, since it alone sees the first events of the prompts that it places.
+may blame an input, so that no loss of one loses the evidence, nor delays the decision
+until the loss is noticed. The node that placed a prompt hears of its first event, and
+tells the others if one of its parts was a suspect.
 """
 
 import asyncio
@@ -16,7 +17,10 @@
 from typing import NamedTuple
 
 from egretshed.environment import Environment
-from egretshed.gen.messages.ttypes import InputCrash
+from egretshed.gen.messages.ttypes import (
+    InputCleared,
+    InputCrash,
+)
 from egretshed.logs import log_event
 from egretshed.membership.duty_owners import DutyOwners
 from egretshed.peers.network import (
@@ -216,25 +220,30 @@
 
     def _blamed(self, service: str, requests: list[tuple[str, ...]]) -> tuple[str, ...]:
         """Return the inputs to blame for the crashes of requests."""
-        is_owner = self.owners.is_owner(engine_duty(service))
-        judged = [
-            tuple(i for i in ids if is_owner or kind_of(i) != "prompt_part")
-            for ids in requests
-        ]
-        for input_ids in judged:
+        for input_ids in requests:
             for input_id in reversed(input_ids):
                 if self.guard.is_on_probation(service, input_id):
                     return (input_id,)
         now_s = self.env.clock.monotonic_s()
-        return self._evidence[service].culprits(judged, now_s)
+        return self._evidence[service].culprits(requests, now_s)
 
     def record_first_event(self, service: str, parts: tuple[PromptPart, ...]) -> None:
         """Clear the parts of a placed prompt that got its first event."""
-        shared_ids = tuple(part.part_id for part in parts[:-1])
-        self._evidence[service].clear(shared_ids)
-        for part_id in shared_ids:
+        evidence = self._evidence[service]
+        for part in parts[:-1]:
+            part_id = part.part_id
+            is_on_probation = self.guard.is_on_probation(service, part_id)
+            if is_on_probation or evidence.is_suspect(part_id):
+                self._tell_judges(service, part_id)
+            evidence.clear((part_id,))
             self.guard.end_probation(service, part_id)
 
+    def _tell_judges(self, service: str, part_id: str) -> None:
+        """Tell the other nodes that may blame a part that an engine has read it."""
+        for node_id in self.owners.candidates(engine_duty(service), REPORTED_OWNERS):
+            if node_id != self.env.identity.node_id:
+                self.peers.send(node_id, InputCleared(service, part_id))
+
     def _explain_crashes(self, service: str, input_id: str) -> None:
         """Attribute crashes to an input that any node has blamed."""
         for evidence in self._evidence_of(service):
--- a/egretshed/quarantine/tests/guard.feature
+++ b/egretshed/quarantine/tests/guard.feature
@@ -60,3 +60,20 @@
     When servers crash three times at a prompt that shares "x"
     And "n2" becomes the owner, and a server crashes at another prompt that shares "x"
     Then "none" refuse prompts with "x" and no others
+
+  # Guards against engines that crash for as long as the loss of the owner is not noticed.
+  Scenario: The owner is lost, and nobody has noticed it yet
+    Given nodes "n1 n2 n3", of which "n1" places prompts
+    When the owner is lost, unnoticed, and engines crash 3 times at "x"
+    Then "n2 n3" refuse prompts with "x" and no others
+
+  # Guards against successors that blame a part that only the owner knows to be sound.
+  Scenario Outline: Successors judge a part, and <event>
+    Given nodes "n1 n2 n3", of which "n1" places prompts
+    When engines crash twice at "x", and <event>, and an engine crashes at "x" again
+    Then "<nodes>" refuse prompts with "x" and no others
+
+    Examples:
+      | event             | nodes |
+      | nothing happens   | n2 n3 |
+      | "x" is answered   | none  |
--- a/egretshed/quarantine/tests/steps/guard_steps.py
+++ b/egretshed/quarantine/tests/steps/guard_steps.py
@@ -34,7 +34,8 @@
         self.own_id, self.owner, self.node_ids = own_id, owner, node_ids
 
     def candidates(self, duty, count):
-        return [self.owner] if self.own_id == self.owner else [self.owner, self.own_id]
+        others = [node_id for node_id in self.node_ids if node_id != self.owner]
+        return [self.owner, *others][:count]
 
     def is_owner(self, duty):
         return self.own_id == self.owner
@@ -154,6 +155,26 @@
     _crash(context, 3)
 
 
+@when('the owner is lost, unnoticed, and engines crash {count:d} times at "x"')
+def crash_without_owner(context, count):
+    context.network.paused.add(context.owner)
+    _crash(context, count)
+
+
+@when('engines crash twice at "x", and {event}, and an engine crashes at "x" again')
+def crash_with_event(context, event):
+    _crash(context, 2)
+    if event.startswith('"x" is answered'):
+        run(context, _first_event(context))
+        _pass(context, 0.1)
+    context.network.paused.add(context.owner)
+    _crash(context, 1)
+
+
+async def _first_event(context):
+    context.nodes[context.owner].record_first_event(SERVICE, _parts("x"))
+
+
 @when("the trouble ends and {seconds:g} s pass")
 def trouble_ends(context, seconds):
     context.store.is_away = False
@@ -179,15 +200,13 @@
 
 @when('"x" is answered and then an engine crashes')
 def answered(context):
-    owner = context.nodes[context.owner]
-    owner.record_first_event(SERVICE, _parts("x"))
+    run(context, _first_event(context))
     _crash(context, 1)
 
 
 @when('"x" is answered and then three engines crash')
 def answered_and_crashed(context):
-    owner = context.nodes[context.owner]
-    owner.record_first_event(SERVICE, _parts("x"))
+    run(context, _first_event(context))
     _crash(context, 3)
 
 
