Bound the evidence of crashes in time, and keep repeated inputs in it

Cause: each report walked all crashes of the last 600 s, so that a caller that crashes servers with a new body each time made every report slower. An input in two crashes was pushed out by 1,000 new inputs before its third. The crashes of an input that is never blamed, such as a part that all prompts share, were all kept. Ruled out: a larger table, which only moves the limit. Change: crashes are kept for 30 s, for late reports about them, and dropped from the oldest on. Inputs with a single crash are dropped before others. An input keeps its last 16 crashes.

--- a/egretshed/quarantine/crash_evidence.py
+++ b/egretshed/quarantine/crash_evidence.py
@@ -35,8 +35,14 @@
 COMMON_CAUSE_S = 0.1
 # Difference of the delays of two reports.
 REPORT_JITTER_S = 0.01
-# Limit on the inputs that are remembered; the least recently suspected ones go first.
+# Limit on the inputs that are remembered. Those with a single crash go first, the least
+# recently suspected ones before others: a caller that crashes servers with a new body
+# each time must not push out the evidence against an input that is repeated.
 MAX_SUSPECTS = 1000
+# Limit on the crashes that are remembered of one input.
+MAX_CRASHES_OF_INPUT = 16
+# Further reports about a crash may arrive for this long, from nodes that were paused.
+LATE_REPORT_S = 30.0
 
 
 class SuspectRun(NamedTuple):
@@ -73,7 +79,9 @@
     def __init__(self) -> None:
         self._numbers = itertools.count(1)
         self._suspects: OrderedDict[str, dict[int, Suspicion]] = OrderedDict()
-        self._last_crash_of: dict[str, Crash] = {}
+        # Ids of the suspects with a single crash; the values mean nothing.
+        self._single: OrderedDict[str, None] = OrderedDict()
+        self._last_crash_of: OrderedDict[str, Crash] = OrderedDict()
         self._explained: set[int] = set()
 
     def record_crash(
@@ -93,19 +101,32 @@
         if crash.number in self._explained:
             return
         for index, input_id in enumerate(input_ids):
-            suspicions = self._suspects.setdefault(input_id, {})
             inner_ids = frozenset(input_ids[index + 1 :])
-            if crash.number in suspicions:
-                inner_ids |= suspicions[crash.number].inner_ids
-            suspicions[crash.number] = Suspicion(run, inner_ids)
-            self._suspects.move_to_end(input_id)
+            self._suspect(input_id, crash.number, Suspicion(run, inner_ids))
         while len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+            oldest_id = next(iter(self._single or self._suspects))
+            self.clear((oldest_id,))
+
+    def _suspect(self, input_id: str, number: int, suspicion: Suspicion) -> None:
+        suspicions = self._suspects.setdefault(input_id, {})
+        if number in suspicions:
+            inner_ids = suspicion.inner_ids | suspicions[number].inner_ids
+            suspicion = suspicion._replace(inner_ids=inner_ids)
+        suspicions[number] = suspicion
+        if len(suspicions) > MAX_CRASHES_OF_INPUT:
+            del suspicions[min(suspicions)]
+        self._suspects.move_to_end(input_id)
+        if len(suspicions) == 1:
+            self._single[input_id] = None
+            self._single.move_to_end(input_id)
+        else:
+            self._single.pop(input_id, None)
 
     def clear(self, input_ids: tuple[str, ...]) -> None:
         """Clear inputs that a server has run without a crash."""
         for input_id in input_ids:
             self._suspects.pop(input_id, None)
+            self._single.pop(input_id, None)
 
     def is_suspect(self, input_id: str) -> bool:
         return input_id in self._suspects
@@ -180,25 +201,35 @@
     def explain(self, input_ids: tuple[str, ...]) -> None:
         """Attribute the crashes of blamed inputs to them alone."""
         for input_id in input_ids:
-            self._explain(set(self._suspects.pop(input_id, {})))
+            numbers = set(self._suspects.get(input_id, {}))
+            self.clear((input_id,))
+            self._explain(numbers)
 
     def _explain(self, numbers: set[int]) -> None:
-        self._explained |= numbers
-        for runs in self._suspects.values():
+        remembered = {crash.number for crash in self._last_crash_of.values()}
+        self._explained = (self._explained | numbers) & remembered
+        for input_id, suspicions in list(self._suspects.items()):
+            if numbers.isdisjoint(suspicions):
+                continue
             for number in numbers:
-                runs.pop(number, None)
+                suspicions.pop(number, None)
+            if not suspicions:
+                self.clear((input_id,))
+            elif len(suspicions) == 1:
+                self._single[input_id] = None
 
     def _crash(self, server_id: str, now_s: float) -> Crash:
         self._forget(now_s)
         known = self._last_crash_of.get(server_id)
         if known is None or now_s - known.at_s >= SAME_CRASH_S:
             known = self._last_crash_of[server_id] = Crash(next(self._numbers), now_s)
+            self._last_crash_of.move_to_end(server_id)
         return known
 
     def _forget(self, now_s: float) -> None:
-        """Drop what is too old to count or to belong to a further report."""
-        for server_id, crash in list(self._last_crash_of.items()):
-            if now_s - crash.at_s >= MEMORY_S:
-                del self._last_crash_of[server_id]
-        remembered = {crash.number for crash in self._last_crash_of.values()}
-        self._explained &= remembered
+        """Drop crashes that are too old for a further report to be about them."""
+        while self._last_crash_of:
+            server_id = next(iter(self._last_crash_of))
+            if now_s - self._last_crash_of[server_id].at_s < LATE_REPORT_S:
+                return
+            del self._last_crash_of[server_id]
--- a/egretshed/quarantine/tests/evidence.feature
+++ b/egretshed/quarantine/tests/evidence.feature
@@ -46,3 +46,15 @@
   Scenario: Prompts without a common part crash engines
     When 5000 crashes with other parts are reported
     Then at most 1000 parts are remembered
+
+  # Guards against a caller whose new requests push out the evidence against a repeated
+  # one, and against memory and time that grow with the crashes.
+  Scenario: New requests crash servers, and one that is repeated among them
+    When 900 crashes with 5 new requests each are reported, "!g" being in the 1st, 150th and 900th
+    Then the blamed inputs are "!g"
+    And at most 1000 parts and 400 crashes are remembered
+
+  # Guards against memory that grows with each crash of an input that is never blamed.
+  Scenario: An input is in every crash, and another one explains them
+    When 500 crashes at "a/x" are reported that nobody judges
+    Then at most 16 crashes of "a" are remembered
--- a/egretshed/quarantine/tests/steps/evidence_steps.py
+++ b/egretshed/quarantine/tests/steps/evidence_steps.py
@@ -65,3 +65,40 @@
 @then("at most {most:d} parts are remembered")
 def remembered(context, most):
     assert len(context.evidence._suspects) <= most
+
+
+@when(
+    '{count:d} crashes with {new:d} new requests each are reported, "{text}" being in'
+    " the 1st, {second:d}th and {third:d}th"
+)
+def report_new(context, count, new, text, second, third):
+    context.evidence, context.blamed = CrashEvidence(), []
+    for number in range(1, count + 1):
+        now_s = number * 0.1
+        requests = [(f"request:{number}/{index}",) for index in range(new)]
+        if number in (1, second, third):
+            requests.append((_input_id(text),))
+        for input_ids in requests:
+            run = SuspectRun(now_s - 0.05, now_s)
+            context.evidence.record_crash(input_ids, f"e{number}", run)
+        context.blamed.extend(context.evidence.culprits(requests, now_s))
+
+
+@then("at most {most:d} parts and {crashes:d} crashes are remembered")
+def remembered_crashes(context, most, crashes):
+    assert len(context.evidence._suspects) <= most
+    assert len(context.evidence._last_crash_of) <= crashes
+
+
+@when('{count:d} crashes at "{text}" are reported that nobody judges')
+def report_unjudged(context, count, text):
+    context.evidence = CrashEvidence()
+    input_ids, _ = _parse_request(text)
+    for number in range(count):
+        run = SuspectRun(number - 0.1, number * 1.0)
+        context.evidence.record_crash(input_ids, f"e{number}", run)
+
+
+@then('at most {most:d} crashes of "{text}" are remembered')
+def remembered_of(context, most, text):
+    assert len(context.evidence._suspects[_input_id(text)]) <= most
