Replace the quarantine that ends first when the table is full

Cause: while 256 quarantines were in force, an input that was blamed was not refused, and the evidence against it was dropped as explained: it crashed three servers again and again. Ruled out: a larger table, which only moves the limit. Change: a blamed input replaces the quarantine that ends first, a notice only one that ends earlier. The record of a dropped quarantine is removed from the store. The event quarantine_dropped tells of it.

--- a/egretshed/quarantine/guard.py
+++ b/egretshed/quarantine/guard.py
@@ -7,6 +7,7 @@
 the first of the crashes that it is blamed for is cleared by the node that knows this.
 """
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NoReturn
@@ -103,6 +104,9 @@
         self.on_quarantined: list[Callable[[str, str], None]] = []
         self.on_cleared: list[Callable[[str, str], None]] = []
         self._inputs: dict[tuple[str, str], QuarantinedInput] = {}
+        # Quarantines that were dropped while the table was full, and whose records this
+        # node must still remove.
+        self._dropped: deque[QuarantinedInput] = deque(maxlen=MAX_ENTRIES)
         # Stored records that were applied; the store's copy here may be old.
         self._applied_records: dict[str, bytes] = {}
         peers.handle(InputQuarantine, self._on_quarantine)
@@ -237,9 +241,9 @@
         if known is not None and known.level >= level:
             if is_in_force or known.is_cleared:
                 return False
-        if known is None and not self._make_room():
-            return False
         until_s = self.env.clock.monotonic_s() + duration_s
+        if known is None and not self._make_room(until_s, source == "blamed"):
+            return False
         added = QuarantinedInput(*key, level, until_s, since_s)
         self._inputs[key] = added
         self.env.metrics.counter(
@@ -258,14 +262,25 @@
             listener(*key)
         return True
 
-    def _make_room(self) -> bool:
-        """Return whether another input may be kept; drop a released one if needed."""
+    def _make_room(self, until_s: float, is_blamed: bool) -> bool:
+        """Return whether another input may be kept, dropping one if the table is full.
+
+        Released inputs go first, then the quarantine that ends first. One that another
+        node knows replaces only such that end earlier: else two nodes with full tables
+        would replace each other's quarantines again and again.
+        """
         if len(self._inputs) < MAX_ENTRIES:
             return True
-        released = [key for key, known in self._inputs.items() if known.is_released]
-        if released:
-            del self._inputs[min(released, key=lambda key: self._inputs[key].until_s)]
-        return bool(released)
+        first = min(self._inputs.values(), key=lambda i: (not i.is_released, i.until_s))
+        if not (first.is_released or is_blamed or first.until_s < until_s):
+            return False
+        del self._inputs[(first.service, first.input_id)]
+        if not first.is_released:
+            self._release(first)
+            self._log("quarantine_dropped", first)
+        if first.pending_record:
+            self._dropped.append(first)
+        return True
 
     async def _on_quarantine(self, sender: Sender, notice: InputQuarantine) -> None:
         known = self._inputs.get(_key(notice.service_name, notice.input_id))
@@ -344,9 +359,15 @@
         known.pending_record = known.pending_record or is_owner
 
     async def _update_records(self) -> None:
-        for known in list(self._inputs.values()):
+        for known in [*self._inputs.values()]:
             if known.pending_record:
                 await self._update_record(known)
+        for _ in range(len(self._dropped)):
+            dropped = self._dropped.popleft()
+            if (dropped.service, dropped.input_id) not in self._inputs:
+                await self._update_record(dropped)
+                if dropped.pending_record:
+                    self._dropped.append(dropped)
 
     async def _update_record(self, known: QuarantinedInput) -> None:
         """Write the record of a quarantine, or remove it once that has ended.
--- a/egretshed/quarantine/tests/guard.feature
+++ b/egretshed/quarantine/tests/guard.feature
@@ -84,3 +84,16 @@
     Given nodes "n1 n2 n3 n4 n5 n6 n7", of which "n1" places prompts
     When "n6 n7" are cut off, and "n6 n7 n6" report one crash each at a request
     Then "n6 n7" refuse the request for all services, and no others
+
+  # Guards against an input that crashes servers for as long as a caller keeps the table
+  # of quarantines full, and against records of dropped ones that stay in the store.
+  Scenario Outline: "x" is blamed after <count> other inputs
+    Given nodes "n1 n2 n3", of which "n1" places prompts
+    When <count> other requests are quarantined, and the engines crash three times at "x"
+    Then "n1 n2 n3" refuse prompts with "x" and no others
+    And no node keeps more than 256 quarantines, nor the store more records, after 60 s
+
+    Examples:
+      | count |
+      | 255   |
+      | 300   |
--- a/egretshed/quarantine/tests/steps/guard_steps.py
+++ b/egretshed/quarantine/tests/steps/guard_steps.py
@@ -324,3 +324,30 @@
         node.owners.owner = node_id
     context.input_ids = ("request:h", *_shared_ids("x"), "prompt:h")
     _crash(context, 1)
+
+
+@when(
+    '{count:d} other requests are quarantined, and the engines crash three times at "x"'
+)
+def fill_table(context, count):
+    async def fill():
+        owner = context.nodes[context.owner]
+        now_s = context.network.clock.monotonic_s()
+        for number in range(count):
+            owner.guard.impose(SERVICE, f"request:{number}", 3, now_s)
+        await context.network.clock.advance(5.0)
+
+    run(context, fill())
+    _crash(context, 3)
+
+
+@then(
+    "no node keeps more than {most:d} quarantines, nor the store more records, after"
+    " {seconds:g} s"
+)
+def table_is_bounded(context, most, seconds):
+    _pass(context, seconds)
+    for node in context.nodes.values():
+        assert len(node.guard._inputs) <= most
+    assert RECORD_KEY in context.store.records
+    assert len(context.store.records) <= most, len(context.store.records)
