Let requests wait for fresh tables after a node stood still

Cause: a process that goes on reads the requests in its sockets before any timer runs and before the store is heard. Its first requests were decided by the list of servers and the configuration from before. Ruled out: a timer that notices the pause; it runs after the first requests. Change: FreshTables looks at the clock in front of each request.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -13,11 +13,13 @@
 from egretshed.daemon.tasks import NodeTasks
 from egretshed.errors import NotRun
 from egretshed.feeds.follower import TableFollower
+from egretshed.feeds.fresh_tables import FreshTables
 from egretshed.feeds.peer_sync import (
     SLOW_LINK_MBPS,
     PeerTableSync,
 )
 from egretshed.feeds.table_source import TableSource
+from egretshed.feeds.table_view import TableView
 from egretshed.ingress.endpoints import NodeEndpoints
 from egretshed.ingress.server import RequestServer
 from egretshed.logs import (
@@ -193,6 +195,10 @@
             crashes,
         )
         SignalNotices(env, self.peers, duty_owners, self.servers)
+        server_list = ServerListView(
+            env, self.server_table, self.store, self.version_record
+        )
+        operators = TableView(env, self.operator_table, self.store)
         resumption = StreamResumption(
             env,
             self.servers,
@@ -202,7 +208,7 @@
                 self.servers,
                 ServerStartTimes(env, self.connection_pool, self.servers),
             ),
-            ServerListView(env, self.server_table, self.store, self.version_record),
+            server_list,
         )
         selector = ServerSelector(env, self.servers, self.engine_placer)
         stage_client = StageClient(env, self.peers, duty_owners, self.stage_owner)
@@ -228,6 +234,7 @@
             self.retry_budget,
             self.input_guard,
             resumption,
+            FreshTables(env, self.membership.last_pause_s, (operators, server_list)),
         )
 
     def _configuration(self):
--- a/egretshed/daemon/tests/steps/waking_steps.py
+++ b/egretshed/daemon/tests/steps/waking_steps.py
@@ -15,8 +15,8 @@
 
 SERVICES = {"read": "plain", "book": "plain", "ask": "engine"}
 DOMAIN = "a"
-# The change is made this long after the node has stopped, and the requests are sent this
-# long before it goes on.
+# The change is made this long after the node was stopped, and the requests are sent
+# this long before it goes on.
 CHANGE_DELAY_S = 0.3
 QUEUED_S = 0.2
 DEADLINE_MS = "4000"
--- a/egretshed/membership/pause.py
+++ b/egretshed/membership/pause.py
@@ -30,6 +30,12 @@
         self._last_tick_s = env.clock.monotonic_s()
         self._unsettled_since_s: float | None = self._last_tick_s
         self._successes_since_s: float | None = None
+        self._last_pause_s: float | None = None
+
+    def last_pause_s(self) -> float | None:
+        """Return when the process last went on after a pause; None if it had none."""
+        self._detect_pause()
+        return self._last_pause_s
 
     def is_settled(self) -> bool:
         self._detect_pause()
@@ -69,6 +75,7 @@
         if gap_s <= self.env.settings.membership.pause_limit_s:
             return
         self._last_tick_s = now_s
+        self._last_pause_s = now_s
         self._unsettled_since_s = now_s
         self._successes_since_s = None
         self.on_pause()
--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -196,6 +196,10 @@
         """
         return not self.is_superseded and self._pause_detector.is_settled()
 
+    def last_pause_s(self) -> float | None:
+        """Return when this process last went on after it stood still, or None."""
+        return self._pause_detector.last_pause_s()
+
     def owner_of(self, replica: Replica, region: str) -> str | None:
         """Return the node that lends the slots of `replica`, a replica in `region`."""
         if self.is_superseded:
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -20,6 +20,7 @@
     StageFailed,
     Unauthorized,
 )
+from egretshed.feeds.fresh_tables import FreshTables
 from egretshed.ingress.server import (
     IncomingRequest,
     Reply,
@@ -84,8 +85,10 @@
         budget: SharedRetryBudget,
         guard: InputGuard,
         resumption: StreamResumption,
+        fresh_tables: FreshTables,
     ):
         self.env = env
+        self.fresh_tables = fresh_tables
         self.guard = guard
         self.resumption = resumption
         self.table = table
@@ -102,6 +105,7 @@
         request = decode_request(incoming)
         state: RequestState | None = None
         try:
+            await self.fresh_tables.wait()
             state = self._accept(request, reply)
             await self._serve_until_disconnect(state)
             state.outcome = state.outcome or "answered"
--- a/egretshed/relay/tests/fuzz_attempts.py
+++ b/egretshed/relay/tests/fuzz_attempts.py
@@ -47,7 +47,7 @@
 from standins.clock import ManualClock
 from standins.environments import make_environment
 from standins.fuzz import fuzz_main
-from standins.virtual_loop import run_virtual
+from standins.virtual_time import run_virtual
 
 EVENTS = 4
 BODY = b"the whole answer"
--- a/egretshed/relay/tests/steps/quarantined_search_steps.py
+++ b/egretshed/relay/tests/steps/quarantined_search_steps.py
@@ -18,7 +18,7 @@
 )
 from egretshed.serving.schema import Service
 from standins.environments import make_environment
-from standins.virtual_loop import run_virtual
+from standins.virtual_time import run_virtual
 
 
 class RefusingServers(FakeServers):
--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import selectors
+from collections.abc import Coroutine
+from typing import Any
 
 START_S = 1000.0
 
@@ -50,3 +52,9 @@
 
     async def sleep(self, seconds: float) -> None:
         await asyncio.sleep(max(0.0, seconds))
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine to its end in virtual time, and return its result."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(coroutine)
