Look for another server only until a complete event has arrived

What callers saw: a stream whose server sends bytes that complete no event was cut at its deadline, where another server had it. Cause: since the first server is awaited beside the search, each of its pieces counted as going on, and the second server was dismissed. Change: what is awaited is the next complete event, not the next piece; a stream that ends inside an event has not gone on.

--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 
 from egretshed.environment import Environment
 from egretshed.errors import (
@@ -388,30 +389,23 @@
         """
         state, server = wait.state, wait.server
         self._check_response(response, state)
-        clock = self.env.clock
         splitter = EventSplitter()
         pieces = exchange.body_chunks()
-        executions = state.possible_executions
-        limit_s = first_event_limit_s(state.route, executions)
-        since_s = clock.monotonic_s()
+        limit_s = first_event_limit_s(state.route, state.possible_executions)
         while True:
-            left_s = None
-            if limit_s is not None:
-                left_s = max(0.0, since_s + limit_s - clock.monotonic_s())
-            try:
-                chunk = await wait.wait(left_s, anext(pieces))
-            except StopAsyncIteration:
-                break
-            events = splitter.feed(chunk)
+            events = await wait.wait(
+                limit_s,
+                _next_events(pieces, splitter),
+                lambda events: not events and splitter.is_inside_event(),
+            )
             if not events:
-                continue
+                break
             if not state.attempt_has_events:
                 await self.resumption.begin(state, server)
                 state.attempt_has_events = True
             await self._forward(state, response, events, placement)
             state.last_event_id = splitter.last_event_id or state.last_event_id
             limit_s = event_gap_limit_s(state.route, state.possible_executions)
-            since_s = clock.monotonic_s()
         state.incomplete_event_bytes = len(splitter.remainder())
         if splitter.is_inside_event():
             raise ExchangeFailed("stream ended inside an event", may_have_run=True)
@@ -444,6 +438,15 @@
         await state.reply.write(events)
 
 
+async def _next_events(pieces: AsyncIterator[bytes], splitter: EventSplitter) -> bytes:
+    """Return the next complete events, b"" once the body has ended."""
+    async for chunk in pieces:
+        events = splitter.feed(chunk)
+        if events:
+            return events
+    return b""
+
+
 def _is_failure(head: ResponseHead) -> bool:
     """Return whether a response is worse than what another server may send."""
     return head.status >= SERVER_ERROR_STATUS or head.status in REFUSAL_STATUSES
--- a/egretshed/relay/server_wait.py
+++ b/egretshed/relay/server_wait.py
@@ -36,7 +36,6 @@
         self.service = service
         self.server = server
         self._was_silent = False
-        self._next_search_s = 0.0
 
     async def wait(
         self,
@@ -53,15 +52,11 @@
         """
         if limit_s is None:
             return await awaitable
-        loop = asyncio.get_running_loop()
         waiting = asyncio.ensure_future(awaitable)
         try:
-            # A server may send bytes that make no progress between two searches.
-            limit_s = max(limit_s, self._next_search_s - loop.time())
             while not await _is_done_within(waiting, limit_s):
                 self._record_silence()
                 await self._search(waiting, is_failure)
-                self._next_search_s = loop.time() + SEARCH_PERIOD_S
                 limit_s = SEARCH_PERIOD_S
             return waiting.result()
         finally:
@@ -95,12 +90,8 @@
 
 
 def _has_gone_on(waiting: asyncio.Future, is_failure: Callable[[T], bool]) -> bool:
-    """Return whether the server has; the end of a body counts as that."""
-    if not waiting.done():
+    if not waiting.done() or waiting.exception() is not None:
         return False
-    error = waiting.exception()
-    if error is not None:
-        return isinstance(error, StopAsyncIteration)
     return not is_failure(waiting.result())
 
 
