Let the rows of a node out of step begin enough streams of each version

The rows need two streams of each version; twelve begin at engines chosen by the placement, of which a third have v1. Change: more streams begin until there are two of each. No outcome is checked less strictly.

--- a/egretshed/daemon/tests/steps/out_of_step_steps.py
+++ b/egretshed/daemon/tests/steps/out_of_step_steps.py
@@ -26,6 +26,7 @@
 STREAMS = 12
 # Fewer streams of a version would show little.
 MIN_STREAMS_OF_VERSION = 2
+MAX_MORE_STREAMS = 20
 LIST_DELAY_S = 0.3
 # The streams begin this long before the node goes on. By then the others count a node
 # that stands still for 2.5 s as dead, and tell it of no stream.
@@ -127,6 +128,7 @@
             for number in range(STREAMS)
         )
     )
+    streams += await _begin_more(context, streams, meanwhile)
     if "v2 left" in meanwhile:
         for server in _engines(context, "v2"):
             fleet.store.put(SERVER_TABLE, server.server_id, None)
@@ -156,6 +158,19 @@
         server.event_s, server.events = EVENT_S, EVENTS
 
 
+async def _begin_more(context, streams, meanwhile):
+    """Begin more streams if chance has left too few of a version that serves."""
+    wanted = {"v1"} - ({"v1"} if "v1 left" in meanwhile else set())
+    wanted |= {"v2"} if "v2 joined" in meanwhile else set()
+    more = []
+    while len(more) < MAX_MORE_STREAMS:
+        versions = [stream.version for stream in (*streams, *more)]
+        if all(versions.count(v) >= MIN_STREAMS_OF_VERSION for v in wanted):
+            break
+        more.append(await _begin(context, context.others[0], f"more-{len(more)}"))
+    return more
+
+
 async def _begin(context, name, request_id):
     """Read the first events of a stream and leave; return the stream."""
     reader, writer = await asyncio.open_connection(HOST, context.fleet.ports[name][0])
