Decide about waiting requests of a stop in linear time

Cause: each waiting request was compared with all others every 50 ms: 0.04 s for 400, 0.77 s for 1,600 (found by the review). Requests that are refused anyway waited for fresh tables, and past their deadline. Change: what is known of a route is gathered once a pass; requests wait for a quarter of their time at most, and not at all if the node refuses them.

--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from egretshed.environment import Environment
 from egretshed.errors import (
@@ -20,7 +21,10 @@
     StageFailed,
     Unauthorized,
 )
-from egretshed.feeds.fresh_tables import FreshTables
+from egretshed.feeds.fresh_tables import (
+    WAIT_LIMIT_S,
+    FreshTables,
+)
 from egretshed.ingress.server import (
     IncomingRequest,
     Reply,
@@ -60,6 +64,8 @@
 RETRY_AFTER_S = 0.3
 NOT_READY_RETRY_AFTER_S = 0.5
 STOPPING_REASON = "node_stopping"
+# Share of the time of a request for which it may wait for fresh tables.
+WAIT_SHARE = 0.25
 # Retry-After of requests that a stopping node refuses: other nodes serve them at once.
 STOP_RETRY_AFTER_S = 0.1
 # Results that expired, or whose server has left, can be produced again.
@@ -68,6 +74,13 @@
 MIN_STAGE_RERUN_S = 1.0
 
 
+class _RouteHistory(NamedTuple):
+    """Durations of the last requests of a route, and the age of its oldest one."""
+
+    observed_s: tuple[float, ...]
+    oldest_running_s: float
+
+
 class RelayRunner:
     """Serves requests of callers.
 
@@ -105,7 +118,8 @@
         request = decode_request(incoming)
         state: RequestState | None = None
         try:
-            await self.fresh_tables.wait()
+            if not self.refusal_reason and self.table() is not None:
+                await self.fresh_tables.wait(_wait_limit_s(request))
             state = self._accept(request, reply)
             await self._serve_until_disconnect(state)
             state.outcome = state.outcome or "answered"
@@ -193,36 +207,56 @@
 
     def refuse_late(self) -> None:
         """Refuse requests that still wait and are not likely to end any more."""
+        now_s = self.env.clock.monotonic_s()
+        histories: dict[str, _RouteHistory] = {}
+        sent_s = self._oldest_s(lambda s: s.sent_s if s.may_have_run else None)
         for serving, state in self._serving.items():
-            if not self._can_end_before_stop(state, has_waited=True):
+            if state.may_have_run:
+                continue
+            name = state.route.name
+            if name not in histories:
+                observed = self.recent.of_route(name, now_s)
+                histories[name] = _RouteHistory(
+                    tuple(o.run_s for o in observed), now_s - sent_s.get(name, now_s)
+                )
+            if not self._can_end_before_stop(state, histories[name], now_s):
                 serving.cancel()
 
-    def _can_end_before_stop(self, state: RequestState, has_waited: bool) -> bool:
-        """Return whether the request is likely to end before a stop ends it.
-
-        Only one that was not sent yet may be refused. With `has_waited` it is counted
-        from its send, otherwise from its arrival.
-        """
-        if self._end_at_s is None or state.may_have_run:
+    def _may_start(self, state: RequestState) -> bool:
+        """Return whether a request that has just arrived may be started."""
+        if self._end_at_s is None:
             return True
-        now_s = self.env.clock.monotonic_s()
+        now_s, name = self.env.clock.monotonic_s(), state.route.name
+        arrived_s = self._oldest_s(
+            lambda s: None if s is state else s.request.received_s
+        )
+        observed = self.recent.of_route(name, now_s)
+        history = _RouteHistory(
+            tuple(o.whole_s for o in observed), now_s - arrived_s.get(name, now_s)
+        )
+        return self._can_end_before_stop(state, history, now_s)
+
+    def _oldest_s(
+        self, moment_s: Callable[[RequestState], float | None]
+    ) -> dict[str, float]:
+        """Return the earliest moment of the running requests of each route."""
+        oldest_s: dict[str, float] = {}
+        for state in self._serving.values():
+            at_s = moment_s(state)
+            if at_s is not None:
+                name = state.route.name
+                oldest_s[name] = min(at_s, oldest_s.get(name, at_s))
+        return oldest_s
+
+    def _can_end_before_stop(
+        self, state: RequestState, history: "_RouteHistory", now_s: float
+    ) -> bool:
+        """Return whether a request that was not sent is likely to end in time."""
         route = state.route
-        observed = self.recent.of_route(route.name, now_s)
-        others = [
-            s
-            for s in self._serving.values()
-            if s is not state and s.route.name == route.name
-        ]
-        if has_waited:
-            observed_s = tuple(o.run_s for o in observed)
-            began_s = [s.sent_s for s in others if s.may_have_run]
-        else:
-            observed_s = tuple(o.whole_s for o in observed)
-            began_s = [s.request.received_s for s in others]
         outlook = RequestOutlook(
             deadline_left_s=state.remaining_s(now_s),
-            observed_s=observed_s,
-            oldest_running_s=now_s - min(began_s, default=now_s),
+            observed_s=history.observed_s,
+            oldest_running_s=history.oldest_running_s,
             latency_target_s=route.latency_target_s,
             output_s=output_s(state),
             is_stream=route.is_stream,
@@ -263,7 +297,7 @@
             self.stages.release_all(state)
 
     async def _serve(self, state: RequestState) -> None:
-        if not self._can_end_before_stop(state, has_waited=False):
+        if not self._may_start(state):
             raise self._stop_error(state)
         await self.resumption.bind_resumed(state)
         service = self._service(state)
@@ -415,5 +449,12 @@
         )
 
 
+def _wait_limit_s(request: CallerRequest) -> float:
+    """Return for how long a request may wait for fresh tables."""
+    if request.deadline_s is None:
+        return WAIT_LIMIT_S
+    return min(WAIT_LIMIT_S, WAIT_SHARE * request.deadline_s)
+
+
 def _seconds_since(moment_s: float | None, start_s: float) -> float | None:
     return None if moment_s is None else round(moment_s - start_s, 4)
