Ask for fresh tables again before a request goes out, and refuse unusable second servers

Change: Dispatcher.open waits for fresh tables once the connection is open; the finder checks a response as the relay does (check_response, check_request_id).

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -199,6 +199,9 @@
             env, self.server_table, self.store, self.version_record
         )
         operators = TableView(env, self.operator_table, self.store)
+        fresh_tables = FreshTables(
+            env, self.membership.last_pause_s, (operators, server_list)
+        )
         resumption = StreamResumption(
             env,
             self.servers,
@@ -225,6 +228,7 @@
             self.retry_budget,
             crashes,
             resumption,
+            fresh_tables,
         )
         self.runner = RelayRunner(
             env,
@@ -234,7 +238,7 @@
             self.retry_budget,
             self.input_guard,
             resumption,
-            FreshTables(env, self.membership.last_pause_s, (operators, server_list)),
+            fresh_tables,
         )
 
     def _configuration(self):
--- a/egretshed/relay/attempt.py
+++ b/egretshed/relay/attempt.py
@@ -15,6 +15,7 @@
     ResultsLost,
     ServerRefusedWork,
 )
+from egretshed.feeds.fresh_tables import FreshTables
 from egretshed.logs import log_event
 from egretshed.placement.engines import (
     EnginePlacement,
@@ -29,9 +30,12 @@
 )
 from egretshed.quarantine.inputs import whole_inputs
 from egretshed.relay.dispatch import (
+    REFUSAL_STATUSES,
     SERVER_ERROR_STATUS,
     Dispatcher,
     ServerNotUsable,
+    check_request_id,
+    check_response,
 )
 from egretshed.relay.events import EventSplitter
 from egretshed.relay.next_step import (
@@ -75,9 +79,6 @@
 MIN_RETRY_TIME_S = 0.25
 # The engine reports that a stage result it needs has been evicted.
 RESULTS_GONE_STATUS = 409
-# Statuses that a caller takes as proof that the request did not run. They are not
-# forwarded, since only the server's explicit header is such a proof.
-REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 # Pause before a request is sent to a server that it was sent to before.
 RETRIED_SERVER_PAUSE_S = 0.05
 
@@ -96,6 +97,7 @@
         budget: SharedRetryBudget,
         crashes: CrashReporter,
         resumption: StreamResumption,
+        fresh_tables: FreshTables | None = None,
     ):
         self.env = env
         self.servers = servers
@@ -106,7 +108,7 @@
         self.crashes = crashes
         self.resumption = resumption
         self.dispatcher = Dispatcher(
-            env, servers, selector, placer, stages, pool, crashes.guard
+            env, servers, selector, placer, stages, pool, crashes.guard, fresh_tables
         )
         self.successors = SuccessorFinder(
             env, self.dispatcher, stages, budget, resumption.may_go_on
@@ -309,10 +311,7 @@
         now_s = self.env.clock.monotonic_s()
         if response.load is not None:
             server.record_load(response.load, now_s)
-        if response.request_id not in ("", state.request.request_id):
-            raise ExchangeFailed(
-                "response has the id of another request", may_have_run=True
-            )
+        check_request_id(state, response)
         self.servers.record_signals(server, response.signals, start_s)
         if response.proves_not_run:
             refusal = self.dispatcher.note_refusal(state, server, response)
@@ -341,7 +340,7 @@
         start_s: float,
     ) -> None:
         now_s = self.env.clock.monotonic_s()
-        self._check_response(response, state)
+        check_response(response)
         failed = response.status >= SERVER_ERROR_STATUS
         if failed and (self._can_retry(state, now_s) or not response.signature):
             raise ExchangeFailed(
@@ -354,18 +353,6 @@
         )
         state.reply.start(response.status, list(response.headers), body)
 
-    def _check_response(self, response: ServerResponse, state: RequestState) -> None:
-        """Raise if the response cannot be a complete response to this request."""
-        if response.is_encoded:
-            raise ExchangeFailed("response has a content encoding", may_have_run=True)
-        if response.is_success and not response.signature:
-            raise ExchangeFailed("response has no signature", may_have_run=True)
-        if response.status in REFUSAL_STATUSES:
-            # The server may have run the request, so its refusal is not forwarded.
-            raise ExchangeFailed(
-                f"server responded with status {response.status}", may_have_run=True
-            )
-
     def _can_retry(self, state: RequestState, now_s: float) -> bool:
         return (
             state.route.is_retryable
@@ -388,7 +375,7 @@
         response was framed.
         """
         state, server = wait.state, wait.server
-        self._check_response(response, state)
+        check_response(response)
         splitter = EventSplitter()
         pieces = exchange.body_chunks()
         limit_s = first_event_limit_s(state.route, state.possible_executions)
--- a/egretshed/relay/dispatch.py
+++ b/egretshed/relay/dispatch.py
@@ -10,6 +10,7 @@
     BackendError,
     ServerRefusedWork,
 )
+from egretshed.feeds.fresh_tables import FreshTables
 from egretshed.placement.engines import (
     EnginePlacement,
     EnginePlacer,
@@ -29,6 +30,7 @@
 from egretshed.upstream.exchange import (
     PATIENT_DETECTION,
     Exchange,
+    ExchangeFailed,
 )
 from egretshed.upstream.pool import ConnectionPool
 
@@ -37,6 +39,9 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 MISDIRECTED_STATUS = 421
 SERVER_ERROR_STATUS = 500
+# Statuses that a caller takes as proof that the request did not run. They are not
+# forwarded, since only the server's explicit header is such a proof.
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 # Time for which this node avoids a server that refused a request for lack of capacity.
 REFUSAL_BACKOFF_S = 0.05
 
@@ -62,8 +67,10 @@
         stages: StageRunner,
         pool: ConnectionPool,
         guard: InputGuard,
+        fresh_tables: FreshTables | None = None,
     ):
         self.env = env
+        self.fresh_tables = fresh_tables
         self.servers = servers
         self.selector = selector
         self.placer = placer
@@ -95,9 +102,17 @@
     async def open(self, state: RequestState, server: ServerState) -> Exchange:
         """Connect to a server; raise `ExchangeFailed`, with nothing sent."""
         limit_bytes = MAX_STREAM_BYTES if state.route.is_stream else MAX_BUFFERED_BYTES
-        return await self.pool.open(
+        exchange = await self.pool.open(
             server.address, limit_bytes, detection=PATIENT_DETECTION
         )
+        if self.fresh_tables is not None:
+            try:
+                # The process may have stood still since the server was chosen.
+                await self.fresh_tables.wait()
+            except BaseException:
+                exchange.close()
+                raise
+        return exchange
 
     def send(
         self, state: RequestState, server: ServerState, exchange: Exchange
@@ -149,3 +164,24 @@
             status=response.status,
             may_have_run=False,
         )
+
+
+def check_request_id(state: RequestState, response: ServerResponse) -> None:
+    """Raise `ExchangeFailed` if a response belongs to another request."""
+    if response.request_id not in ("", state.request.request_id):
+        raise ExchangeFailed(
+            "response has the id of another request", may_have_run=True
+        )
+
+
+def check_response(response: ServerResponse) -> None:
+    """Raise `ExchangeFailed` if a response may not be passed on to the caller."""
+    if response.is_encoded:
+        raise ExchangeFailed("response has a content encoding", may_have_run=True)
+    if response.is_success and not response.signature:
+        raise ExchangeFailed("response has no signature", may_have_run=True)
+    if response.status in REFUSAL_STATUSES:
+        # The server may have run the request, so its refusal is not forwarded.
+        raise ExchangeFailed(
+            f"server responded with status {response.status}", may_have_run=True
+        )
--- a/egretshed/relay/successor.py
+++ b/egretshed/relay/successor.py
@@ -24,6 +24,8 @@
     SERVER_ERROR_STATUS,
     Dispatcher,
     ServerNotUsable,
+    check_request_id,
+    check_response,
 )
 from egretshed.relay.next_step import (
     AttemptHistory,
@@ -203,11 +205,13 @@
                 response = decode_response_head(await exchange.head())
         except TimeoutError:
             return True
+        check_request_id(state, response)
         if response.proves_not_run:
             self.dispatcher.servers.record_signals(
                 server, response.signals, state.sent_s
             )
             raise self.dispatcher.note_refusal(state, server, response)
+        check_response(response)
         if response.status >= SERVER_ERROR_STATUS:
             raise ExchangeFailed(
                 f"server responded with status {response.status}", may_have_run=True
