Notice pauses from the first request on, and wait for tables by the time a request has

What callers saw: after a node stood still within about a second of its start, or on a busy machine, its first requests were decided by what it knew before. Besides, a request with little time, or a first failed read on a kept connection that had ended, let all others go on unconfirmed. Change: the check runs from the moment at which requests are served. The wait is a quarter of the time that a request has left, 1 s at most, and tries again after a failure; only a confirmed table, or 1 s, ends it for the others.

--- a/egretshed/daemon/entry_node.py
+++ b/egretshed/daemon/entry_node.py
@@ -321,6 +321,8 @@
             current._replace(peers=current.peers._replace(keys=(key,)))
         )
         self._build_peer_services()
+        # Requests are served from here on.
+        self._tasks.spawn("pauses", self.membership.watch_pauses)
         self.peers.start(self._peer_sockets)
         await self.membership.start()
         self.table_source.connect(self.peer_sync.source)
--- a/egretshed/daemon/tests/steps/waking_steps.py
+++ b/egretshed/daemon/tests/steps/waking_steps.py
@@ -100,6 +100,16 @@
     context.forbidden, context.responses = run(context, stand())
 
 
+def _table_lines(context):
+    messages = ("process_was_paused", "tables_refreshed", "table_not_confirmed")
+    return [
+        line
+        for name in context.fleet.ports
+        for line in context.fleet.log_lines(name)
+        if line["message"] in messages
+    ]
+
+
 @then("none of them reaches a server that may not get it")
 def none_reached(context):
     reached = [
@@ -108,7 +118,7 @@
         for request_id in server.run_counts
         if request_id.startswith("w-")
     ]
-    assert not reached, reached
+    assert not reached, (reached, _table_lines(context))
 
 
 @then("they are answered {status:d}")
--- a/egretshed/feeds/fresh_tables.py
+++ b/egretshed/feeds/fresh_tables.py
@@ -17,8 +17,12 @@
 from egretshed.feeds.table_view import TableView
 from egretshed.logs import log_event
 
-# Longest wait of a request. A node that does not reach the store serves on after it.
-WAIT_LIMIT_S = 0.4
+# Longest wait after a pause. A node that does not reach the store serves on after it.
+WAIT_LIMIT_S = 1.0
+# Share of the time that a request has left for which it may wait.
+WAIT_SHARE = 0.25
+# Pause after a table could not be confirmed.
+RETRY_PERIOD_S = 0.05
 
 
 class FreshTables:
@@ -39,26 +43,47 @@
         self.views = tuple(views)
         self._handled_s = -math.inf
 
-    async def wait(self, limit_s: float = WAIT_LIMIT_S) -> None:
-        """Return once the tables are younger than the last pause, or the limit ends.
+    async def wait(self, left_s: float | None = None) -> None:
+        """Return once the tables are younger than the last pause, or the wait ends.
 
-        The limit begins anew if the process stands still again meanwhile.
+        `left_s` is the time that the request has left. The wait begins anew if the
+        process stands still again meanwhile.
         """
         while (paused_s := self._unhandled_pause_s()) is not None:
-            limit_s = min(limit_s, WAIT_LIMIT_S)
+            limit_s = WAIT_LIMIT_S
+            if left_s is not None:
+                limit_s = min(limit_s, WAIT_SHARE * left_s)
             confirmed = await asyncio.gather(
-                *(view.confirm(paused_s, limit_s) for view in self.views)
+                *(self._confirm(view, paused_s, limit_s) for view in self.views)
             )
-            if paused_s <= self._handled_s or paused_s != self.last_pause_s():
+            if paused_s != self.last_pause_s():
                 continue
-            self._handled_s = paused_s
-            log_event(
-                self.env.logger,
-                "tables_refreshed",
-                waited_s=round(self.env.clock.monotonic_s() - paused_s, 3),
-                confirmed=sum(confirmed),
-                tables=len(self.views),
-            )
+            waited_s = self.env.clock.monotonic_s() - paused_s
+            if all(confirmed) or waited_s >= WAIT_LIMIT_S:
+                self._note_handled(paused_s, waited_s, sum(confirmed))
+            return
+
+    async def _confirm(self, view: TableView, paused_s: float, limit_s: float) -> bool:
+        """Confirm a table, again after a failure: kept connections may have ended."""
+        clock = self.env.clock
+        end_s = clock.monotonic_s() + limit_s
+        while (left_s := end_s - clock.monotonic_s()) > 0:
+            if await view.confirm(paused_s, left_s):
+                return True
+            await clock.sleep(min(RETRY_PERIOD_S, left_s))
+        return False
+
+    def _note_handled(self, paused_s: float, waited_s: float, confirmed: int) -> None:
+        if paused_s <= self._handled_s:
+            return
+        self._handled_s = paused_s
+        log_event(
+            self.env.logger,
+            "tables_refreshed",
+            waited_s=round(waited_s, 3),
+            confirmed=confirmed,
+            tables=len(self.views),
+        )
 
     def _unhandled_pause_s(self) -> float | None:
         paused_s = self.last_pause_s()
--- a/egretshed/membership/pause.py
+++ b/egretshed/membership/pause.py
@@ -68,7 +68,9 @@
             self._successes_since_s = self.env.clock.monotonic_s()
 
     async def run(self) -> None:
-        """Check for pauses until cancelled."""
+        """Check for pauses until cancelled; return at once if a check runs already."""
+        if self._is_checking:
+            return
         limit_s = self.env.settings.membership.pause_limit_s
         self._last_tick_s = self.env.clock.monotonic_s()
         self._is_checking = True
--- a/egretshed/membership/service.py
+++ b/egretshed/membership/service.py
@@ -196,6 +196,10 @@
         """
         return not self.is_superseded and self._pause_detector.is_settled()
 
+    async def watch_pauses(self) -> None:
+        """Check for pauses of this process until cancelled, also before `run`."""
+        await self._pause_detector.run()
+
     def last_pause_s(self) -> float | None:
         """Return when this process last went on after it stood still, or None."""
         return self._pause_detector.last_pause_s()
--- a/egretshed/relay/dispatch.py
+++ b/egretshed/relay/dispatch.py
@@ -108,7 +108,8 @@
         if self.fresh_tables is not None:
             try:
                 # The process may have stood still since the server was chosen.
-                await self.fresh_tables.wait()
+                now_s = self.env.clock.monotonic_s()
+                await self.fresh_tables.wait(state.remaining_s(now_s))
             except BaseException:
                 exchange.close()
                 raise
--- a/egretshed/relay/runner.py
+++ b/egretshed/relay/runner.py
@@ -21,10 +21,7 @@
     StageFailed,
     Unauthorized,
 )
-from egretshed.feeds.fresh_tables import (
-    WAIT_LIMIT_S,
-    FreshTables,
-)
+from egretshed.feeds.fresh_tables import FreshTables
 from egretshed.ingress.server import (
     IncomingRequest,
     Reply,
@@ -64,8 +61,6 @@
 RETRY_AFTER_S = 0.3
 NOT_READY_RETRY_AFTER_S = 0.5
 STOPPING_REASON = "node_stopping"
-# Share of the time of a request for which it may wait for fresh tables.
-WAIT_SHARE = 0.25
 # Retry-After of requests that a stopping node refuses: other nodes serve them at once.
 STOP_RETRY_AFTER_S = 0.1
 # Results that expired, or whose server has left, can be produced again.
@@ -119,7 +114,7 @@
         state: RequestState | None = None
         try:
             if not self.refusal_reason and self.table() is not None:
-                await self.fresh_tables.wait(_wait_limit_s(request))
+                await self.fresh_tables.wait(request.deadline_s)
             state = self._accept(request, reply)
             await self._serve_until_disconnect(state)
             state.outcome = state.outcome or "answered"
@@ -449,12 +444,5 @@
         )
 
 
-def _wait_limit_s(request: CallerRequest) -> float:
-    """Return for how long a request may wait for fresh tables."""
-    if request.deadline_s is None:
-        return WAIT_LIMIT_S
-    return min(WAIT_LIMIT_S, WAIT_SHARE * request.deadline_s)
-
-
 def _seconds_since(moment_s: float | None, start_s: float) -> float | None:
     return None if moment_s is None else round(moment_s - start_s, 4)
--- a/egretshed/relay/tests/steps/stop_load_steps.py
+++ b/egretshed/relay/tests/steps/stop_load_steps.py
@@ -38,7 +38,7 @@
     await asyncio.Event().wait()
 
 
-async def _return(limit_s):
+async def _return(left_s):
     pass
 
 
