--- a/review/5/run.py
+++ b/review/5/run.py
@@ -89,7 +89,8 @@
             await until(LEAVE_AT_S)
             leaver.headers["Server-Leaving"] = "1"
             record.note("replica begins to leave", server=leaver.server_id)
-            await asyncio.sleep(0.1)
+            while not any("server-leaving" in a.headers for a in answers):
+                await asyncio.sleep(0.02)
             deployment.remove_entry(leaver)
             record.note("entry removed", server=leaver.server_id)
             await until(STORE_AWAY_AT_S)
