--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -237,8 +237,8 @@
         process = self.processes[name]
         if process.returncode is None:
             process.send_signal(signal.SIGKILL)
-        await process.wait()
         self.record.note("node killed", node=name, reason=reason)
+        await process.wait()
 
     async def wait_ready(self, *names: str) -> None:
         async with asyncio.timeout(READY_LIMIT_S):
@@ -256,17 +256,6 @@
     def caller(self, name: str) -> Caller:
         return Caller(f"{HOST}:{self.ports[name][0]}")
 
-    def log_lines(self, name: str) -> list[dict]:
-        text = (self.folder / f"{name}.log").read_text(errors="replace")
-        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
-
-    def keep_logs(self, folder: Path) -> None:
-        """Copy the logs of the nodes to a folder, to look into a run by hand."""
-        folder.mkdir(parents=True, exist_ok=True)
-        for name in self.node_names:
-            content = (self.folder / f"{name}.log").read_bytes()
-            (folder / f"{name}.log").write_bytes(content)
-
 
 def run_case(folder: Path, play: Callable[[Record, bool], Any]) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it could not run.
