Begin a new review: stand-ins for clients that take streams up

Stand-ins: clients that take a stream up until their deadline, events that name the version of their server, and a hook before each request is sent.

--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,5 @@
 import review.common.backends
 import review.common.callers
 import review.common.deployment
+import review.common.stream_clients
 '
--- a/review/common/backends.py
+++ b/review/common/backends.py
@@ -179,8 +179,11 @@
     return handle
 
 
-def stream_handler(events: int, gap_s: float) -> Handler:
-    """Return a handler that streams events, in chunks."""
+def stream_handler(events: int, gap_s: float, names_version: bool = False) -> Handler:
+    """Return a handler that streams events, in chunks.
+
+    With `names_version` each event ends with the version of the server's software.
+    """
 
     async def handle(backend: Backend, arrival: Arrival, writer) -> None:
         extra = {
@@ -191,7 +194,10 @@
         first = int(arrival.headers.get("last-event-id", "0")) + 1
         for number in range(first, events + 1):
             await asyncio.sleep(gap_s)
-            event = f"id: {number}\ndata: {arrival.request_id}\n\n".encode()
+            data = arrival.request_id
+            if names_version:
+                data = f"{data} {backend.version}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/review/common/callers.py
+++ b/review/common/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -30,6 +31,8 @@
     def __init__(self, address: str, host: str = "h.example"):
         self.address = address
         self.host = host
+        # Called with the id of each request before it is sent.
+        self.on_sent: Callable[[str], None] = lambda request_id: None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -44,6 +47,7 @@
     ) -> Answer:
         """Send one request and return its answer."""
         request_id = new_request_id()
+        self.on_sent(request_id)
         fields = {
             "Host": self.host,
             "Request-Id": request_id,
@@ -67,6 +71,9 @@
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             status = 0
             self.close()
+        except asyncio.CancelledError:
+            self.close()
+            raise
         if answer_headers.get("connection", "").lower() == "close":
             self.close()
         return Answer(
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -54,6 +54,7 @@
 PORTS_PER_NODE = 5
 READY_LIMIT_S = 25.0
 POLL_S = 0.05
+LAST_HANDLERS_S = 0.5
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
 
@@ -160,6 +161,8 @@
                 await process.wait()
         for backend in self.backends:
             backend.crash()
+        # Their handlers notice the ends of their connections.
+        await asyncio.sleep(LAST_HANDLERS_S)
         self._store_server.stop()
         self._folder.cleanup()
 
