Review case 1: keep to the longest deadline of the site

The streams are taken up within 10 s, and the replicas of the version that is withdrawn drain as planned.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -25,18 +25,19 @@
 
 FOLDER = Path(__file__).resolve().parent
 EVENTS = 40
-EVENT_S = 0.3
+EVENT_S = 0.2
 STREAMS = 24
-DEADLINE_S = 40.0
+# The longest of the site.
+DEADLINE_S = 10.0
 # Seconds after the copy.
 CANARY_AT_S = 0.3
-STREAMS_AT_S = 1.8
-DRAIN_AT_S = 2.4
+STREAMS_AT_S = 1.6
+DRAIN_AT_S = 2.0
 # `drain_timeout_ms` and a little longer.
-EXIT_AT_S = 4.9
-DRILL_AT_S = 6.4
-AWAY_S = 1.5
-KILL_AFTER_S = 1.5
+EXIT_AT_S = 4.3
+DRILL_AT_S = 4.8
+AWAY_S = 1.0
+KILL_AFTER_S = 0.6
 MIXED_LIMIT = 2
 
 
