Review case 5: a late write puts an older record of versions back

The row has no condition, so that a write without an answer that the store performs seconds later wins over newer ones. After a restart of all nodes, streams go on at another version (ORDER).

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,151 +1,166 @@
-"""A drill restores the store from a copy that still lists a replica that has left.
+"""A write of the nodes is performed late, a version is tried, and all nodes restart.
 
-The replica's entry was removed, which all nodes followed; it goes on serving for a
-while, as leaving replicas do. Then the store is away and comes back from a copy in
-which the entry stands as ready, until it is removed again.
+The nodes keep a record in the store of the versions that services have had, for streams
+that are taken up after all nodes have restarted. The late write puts an older one back.
 """
 
 import asyncio
-import itertools
 import sys
 import time
 from pathlib import Path
 
 from review.common.backends import (
-    Arrival,
     Backend,
+    plain_handler,
     stream_handler,
 )
 from review.common.deployment import (
-    BOUNDS,
+    ZONES,
     Deployment,
     Record,
     engine_service,
+    plain_service,
     route,
     run_case,
 )
+from review.common.stream_clients import StreamClient
 
 FOLDER = Path(__file__).resolve().parent
-DRAIN_S = BOUNDS["drain_timeout_ms"] / 1000
-# The mean time until a replica writes, once each `heartbeat_ms` of 1,200.
-WRITTEN_AGAIN_S = 0.6
-# Nodes count the store as recovering for a while after their start.
-SETTLED_S = 4.0
-# From the copy to the removal of the entry, and from there to the drill.
-COPY_AGE_S = 1.0
-LEFT_BEFORE_DRILL_S = 1.0
-AWAY_S = 2.0
-# The bound is counted from the store's confirmation, plus this for the node's feed.
-FEED_S = 0.5
-# "a little longer (at times many seconds)"
-LINGER_S = 2.2
-# Streams like `route-ask` of the site: 25 events.
-EVENTS = 25
-EVENT_S = 0.04
-CALLERS = 28
-CALL_PERIOD_S = 0.2
+EVENTS = 40
+EVENT_S = 0.2
+STREAMS = 24
+# The longest of the site.
+DEADLINE_S = 10.0
+RECORD_TABLE = "egretshed_nodes"
+RECORD_KEY = "!versions"
+# The pages: "done 1 to 6 s later".
+LATE_S = 4.4
+# Seconds after the replica of another service.
+CANARY_AT_S = 1.0
+STREAMS_AT_S = 1.9
+DRAIN_AT_S = 2.0
+# `drain_timeout_ms` and a little longer.
+EXIT_AT_S = 4.3
+KILL_AT_S = 5.5
+MIXED_LIMIT = 2
 
 
 def configuration() -> dict:
-    ask = route(
-        "ask",
-        "streaming",
-        "rota-llm",
-        timeout_ms=10000,
-        target_latency_ms=1700,
-        target_itl_ms=600,
-        priority=2,
-        sticky=True,
-    )
     return {
         "version": 3,
-        "routes": [ask],
-        "services": [engine_service("rota-llm")],
+        "routes": [
+            route(
+                "digest",
+                "streaming",
+                "rota-llm",
+                timeout_ms=int(DEADLINE_S * 1000),
+                target_latency_ms=1900,
+                target_itl_ms=600,
+                priority=0,
+                max_attempts=2,
+                resumable=True,
+                sticky=True,
+            )
+        ],
+        "services": [engine_service("rota-llm"), plain_service("dispatch-api")],
         "tenants": [{"name": "north", "api_keys": ["key-1"]}],
     }
 
 
-async def play(record: Record, has_trouble: bool) -> int:
-    zones = ("qc-east-a", "qc-east-b", "qc-east-c")
-    backends = [
-        Backend(f"i-llm-{n}", "rota-llm", zones[n], stream_handler(EVENTS, EVENT_S))
-        for n in range(3)
-    ]
-    leaving = backends[0]
-    sent_s: dict[str, float] = {}
-    late: list[Arrival] = []
-    left_s = float("inf")
-
-    def note_run(arrival: Arrival) -> None:
-        bound_s = left_s + FEED_S + DRAIN_S
-        is_late = sent_s.get(arrival.request_id, 0.0) > bound_s
-        if arrival.at_s > left_s:
-            record.note(
-                "the replica that left began to run",
-                id=arrival.request_id,
-                since_it_left_s=round(arrival.at_s - left_s, 3),
-                is_late=is_late,
-            )
-        if is_late:
-            late.append(arrival)
+def engine(number: int, version: str) -> Backend:
+    handler = stream_handler(EVENTS, EVENT_S, names_version=True)
+    name = f"i-llm-{version}-{number}"
+    return Backend(name, "rota-llm", ZONES[number % 3], handler, version)
+
+
+def booking(version: str) -> Backend:
+    handler = plain_handler(0.045)
+    return Backend(f"i-booking-{version}", "dispatch-api", ZONES[0], handler, version)
+
+
+def perform_next_write_late(deployment: Deployment, record: Record) -> None:
+    """Let the next write of the record have no answer, and be performed `LATE_S` later.
 
-    leaving.on_run.append(note_run)
+    It has no condition, so that there is none that may not hold any more.
+    """
+    store, loop = deployment.store, asyncio.get_running_loop()
+    put = store.put
+
+    def put_late(table: str, key: str, value: bytes | None, part: str) -> None:
+        put(table, key, value, part)
+        record.note("the late write was performed", key=key, value=value)
+
+    def put_or_lose(table: str, key: str, value: bytes | None, part: str = "") -> None:
+        if (table, key) != (RECORD_TABLE, RECORD_KEY):
+            put(table, key, value, part)
+            return
+        store.put = put
+        loop.call_later(LATE_S, put_late, table, key, value, part)
+        # The connection of this call is closed without an answer.
+        store.mode = "lost"
+        loop.call_soon(setattr, store, "mode", "ok")
+        record.note("a write has no answer", key=key, value=value)
+
+    store.put = put_or_lose
+
+
+async def play(record: Record, has_trouble: bool) -> int:
+    backends = [engine(n, "v1") for n in range(3)]
+    backends.append(booking("v1"))
     async with Deployment(record, configuration(), backends) as deployment:
-        failed: dict[str, int] = {}
-
-        async def ask(number: int) -> None:
-            names = deployment.node_names
-            caller = deployment.caller(names[number % len(names)])
-            caller.on_sent = lambda i: sent_s.__setitem__(i, time.monotonic())
-            for count in itertools.count():
-                answer = await caller.request(
-                    "POST",
-                    "/ask/x",
-                    b"prompt",
-                    deadline_ms=10000,
-                    Model="m",
-                    Token_Usage="1460,175",
-                    Prefix_Hash=f"a{number:02x}{count:04x}:350,b{number:02x}{count:04x}:1110",
-                )
-                if answer.status != 200:
-                    failed[answer.request_id] = answer.status
-                    record.note(
-                        "stream without its end or refused",
-                        id=answer.request_id,
-                        status=answer.status,
-                    )
-                await asyncio.sleep(CALL_PERIOD_S)
-
-        asks = [asyncio.create_task(ask(n)) for n in range(CALLERS)]
-        await asyncio.sleep(SETTLED_S)
-        copy = deployment.store.copy()
-        record.note("copy of the store made", version=copy.version)
-        await asyncio.sleep(COPY_AGE_S)
-        deployment.remove_entry(leaving)
-        left_s = time.monotonic()
-        record.note("entry removed, confirmed by the store", replica=leaving.server_id)
-        await asyncio.sleep(LEFT_BEFORE_DRILL_S)
+        await asyncio.sleep(4.0)
         if has_trouble:
-            deployment.store.mode = "busy"
-            record.note("drill: the store is away")
-            await asyncio.sleep(AWAY_S)
-            deployment.store.restore(copy)
-            deployment.store.mode = "ok"
-            record.note("drill: the store is back", era=deployment.store.era)
-            await asyncio.sleep(WRITTEN_AGAIN_S)
-            deployment.remove_entry(leaving)
-            record.note("entry removed again", replica=leaving.server_id)
-        await asyncio.sleep(max(0.0, left_s + DRAIN_S + LINGER_S - time.monotonic()))
-        leaving.crash()
-        record.note("the replica that left has exited", replica=leaving.server_id)
-        await asyncio.sleep(1.5)
-        for task in asks:
-            task.cancel()
-    lost = [a for a in late if a.request_id in failed]
+            perform_next_write_late(deployment, record)
+        newcomer = booking("v2")
+        await newcomer.start()
+        deployment.put_entry(newcomer)
+        backends.append(newcomer)
+        began_s = time.monotonic()
+        record.note("a replica of dispatch-api has a newer version")
+
+        async def until(at_s: float) -> None:
+            await asyncio.sleep(max(0.0, began_s + at_s - time.monotonic()))
+
+        await until(CANARY_AT_S)
+        canaries = [engine(n, "v2") for n in range(2)]
+        for canary in canaries:
+            await canary.start()
+            deployment.put_entry(canary)
+            backends.append(canary)
+        record.note("two replicas of v2 serve as well")
+        await until(STREAMS_AT_S)
+        clients = [
+            StreamClient(deployment, record, n, DEADLINE_S) for n in range(STREAMS)
+        ]
+        runs = [asyncio.create_task(client.run()) for client in clients]
+        await until(DRAIN_AT_S)
+        for canary in canaries:
+            deployment.put_entry(canary, "draining")
+        record.note("the replicas of v2 are draining")
+        await until(EXIT_AT_S)
+        for canary in canaries:
+            canary.crash()
+            deployment.remove_entry(canary)
+        record.note("the replicas of v2 have exited, their entries are removed")
+        await until(KILL_AT_S)
+        for name in deployment.node_names:
+            await deployment.kill_node(name, "all nodes lose power")
+        for name in deployment.node_names:
+            await deployment.start_node(name)
+        await deployment.wait_ready(*deployment.node_names)
+        record.note("all nodes are back")
+        await asyncio.wait(runs, timeout=DEADLINE_S)
+        for run in runs:
+            run.cancel()
+    mixed = [c for c in clients if len(c.versions) > 1]
+    for client in mixed:
+        record.note("MIXED STREAM", client=client.number, versions=client.versions)
+    began_at_v2 = [c for c in clients if c.versions[:1] == ["v2"]]
+    complete = sum(c.is_complete for c in clients)
     return record.verdict(
-        bool(late),
-        f"{len(late)} requests reached a replica over {DRAIN_S} s after it had left;"
-        f" {len(lost)} of these streams were cut; {len(sent_s)} were sent",
+        len(mixed) > MIXED_LIMIT,
+        f"{len(mixed)} streams hold events of two versions; of {len(clients)},"
+        f" {len(began_at_v2)} began at v2 and {complete} were completed",
     )
 
 
